platform: Serve the users' platform by way of a mesh of open services

The users' platform has routes by host and prefix without members, a key-value store with its own protocol, and heartbeats of the backend servers. New packages: table (routes), origin (client of a backend server), link (calls between daemons), mesh (entry, target, membership through the store); admit.Slots, route.Board and retry.Shared hold the decisions; platform translates and decides nothing.

--- /dev/null
+++ b/admit/slots.go
@@ -0,0 +1,239 @@
+package admit
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/marjoramcroft/marjoramcroft/ident"
+	"github.com/marjoramcroft/marjoramcroft/refuse"
+)
+
+// Ask asks for a slot of a backend server for a request without a member.
+type Ask struct {
+	Route    ident.RouteID
+	Priority int       // zero is the highest
+	Goal     time.Time // until when the answer has its full worth
+	Deadline time.Time // the answer is of no use after it
+	// Patience is the longest wait for which the caller sends the request here rather than elsewhere.
+	Patience time.Duration
+}
+
+// Busy is the refusal of a request that would wait too long. Wait is the time until a request like
+// it is likely to get a slot at once.
+type Busy struct {
+	*refuse.Refusal
+	Wait time.Duration
+}
+
+// Unwrap returns the refusal.
+func (b *Busy) Unwrap() error { return b.Refusal }
+
+// slotWaiter is a request in the queue of Slots.
+type slotWaiter struct {
+	ask    Ask
+	cost   time.Duration // expected service time
+	result chan error    // nil: has a slot
+}
+
+// Slots admits requests without a member to one backend server: as many at once as it has slots, and
+// of those that wait first the ones that can still reach their goal, by priority and then by goal. With the
+// earliest goal alone, requests that are late already would make all that follow late too. Its methods
+// are safe for concurrent use.
+type Slots struct {
+	now func() time.Time
+
+	mu      sync.Mutex
+	limit   int
+	closed  *refuse.Refusal // nil: open
+	running int
+	queue   []*slotWaiter
+	times   serviceTimes
+}
+
+// NewSlots returns Slots that are closed until Open is called. A nil now is the process's clock.
+func NewSlots(now func() time.Time) *Slots {
+	if now == nil {
+		now = time.Now
+	}
+	return &Slots{
+		now: now, closed: refuse.NotRun(refuse.Starting, "no backend server has announced itself"),
+		times: newServiceTimes(),
+	}
+}
+
+// Open sets the number of slots and admits requests.
+func (s *Slots) Open(slots int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limit, s.closed = max(1, slots), nil
+	s.dispatch()
+}
+
+// Close refuses further requests with r, and those that wait. Requests that run go on.
+func (s *Slots) Close(r *refuse.Refusal) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = r
+	for _, w := range s.queue {
+		w.result <- r
+	}
+	s.queue = nil
+}
+
+// Level is the state of Slots at a moment.
+type Level struct {
+	Running, Waiting, Slots int
+	Mean                    time.Duration // service time
+	Closed                  bool
+}
+
+// Level returns the present state.
+func (s *Slots) Level() Level {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Level{
+		Running: s.running, Waiting: len(s.queue), Slots: s.limit, Mean: s.times.all.mean(), Closed: s.closed != nil,
+	}
+}
+
+// Enter waits for a slot. The error is a *Busy if the wait would be too long, else a *refuse.Refusal;
+// the request has not run. The returned function gives the slot back, with the time that the backend server
+// took, or zero if that says nothing.
+func (s *Slots) Enter(ctx context.Context, a Ask) (func(time.Duration), error) {
+	s.mu.Lock()
+	w, err := s.admit(a)
+	s.mu.Unlock()
+	if err != nil {
+		return nil, err
+	}
+	if w.result != nil {
+		if err := s.await(ctx, w); err != nil {
+			return nil, err
+		}
+	}
+	var once sync.Once
+	return func(d time.Duration) { once.Do(func() { s.leave(a.Route, d) }) }, nil
+}
+
+func (s *Slots) admit(a Ask) (*slotWaiter, error) {
+	if s.closed != nil {
+		return nil, s.closed
+	}
+	now := s.now()
+	w := &slotWaiter{ask: a, cost: s.times.of(a.Route)}
+	if s.running < s.limit && len(s.queue) == 0 {
+		s.running++
+		return w, nil
+	}
+	wait := s.wait(w, now)
+	if wait > a.Patience || now.Add(wait+w.cost).After(a.Deadline) {
+		return nil, &Busy{
+			Refusal: refuse.NotRun(refuse.QueueFull, fmt.Sprintf("%d waiting, expected wait %s", len(s.queue), wait.Round(time.Millisecond))),
+			Wait:    s.drained(),
+		}
+	}
+	w.result = make(chan error, 1)
+	s.queue = append(s.queue, w)
+	return w, nil
+}
+
+// wait returns the expected time until w gets a slot.
+func (s *Slots) wait(w *slotWaiter, now time.Time) time.Duration {
+	ahead := s.times.all.mean() // half of what runs is done on average, and one of them has to end
+	for _, x := range s.queue {
+		if x.before(w, now) {
+			ahead += x.cost
+		}
+	}
+	return ahead / time.Duration(s.limit)
+}
+
+// drained returns the expected time until the queue is empty.
+func (s *Slots) drained() time.Duration {
+	sum := s.times.all.mean()
+	for _, x := range s.queue {
+		sum += x.cost
+	}
+	return sum / time.Duration(s.limit)
+}
+
+// before reports whether w gets a slot before o.
+func (w *slotWaiter) before(o *slotWaiter, now time.Time) bool {
+	if a, b := w.late(now), o.late(now); a != b {
+		return !a
+	}
+	if w.ask.Priority != o.ask.Priority {
+		return w.ask.Priority < o.ask.Priority
+	}
+	return w.ask.Goal.Before(o.ask.Goal)
+}
+
+// late reports whether the request is expected to miss its goal even if it starts now.
+func (w *slotWaiter) late(now time.Time) bool { return now.Add(w.cost).After(w.ask.Goal) }
+
+func (s *Slots) await(ctx context.Context, w *slotWaiter) error {
+	select {
+	case err := <-w.result:
+		return err
+	case <-ctx.Done():
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.remove(w) {
+		if err := <-w.result; err == nil {
+			s.running--
+			s.dispatch()
+		}
+	}
+	return ended(ctx.Err())
+}
+
+func (s *Slots) remove(w *slotWaiter) bool {
+	for i, x := range s.queue {
+		if x == w {
+			s.queue = append(s.queue[:i], s.queue[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Slots) leave(route ident.RouteID, d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if d > 0 {
+		s.times.add(route, d)
+	}
+	s.running--
+	s.dispatch()
+}
+
+// dispatch gives free slots to requests that wait. One that can no longer end before its deadline is
+// refused, so that its caller learns at once that it has not run.
+func (s *Slots) dispatch() {
+	now := s.now()
+	for s.running < s.limit && len(s.queue) > 0 {
+		best := s.queue[0]
+		for _, w := range s.queue[1:] {
+			if w.before(best, now) {
+				best = w
+			}
+		}
+		s.remove(best)
+		if now.Add(best.cost / 2).After(best.ask.Deadline) {
+			best.result <- refuse.NotRun(refuse.DeadlineTooShort, "the request can no longer end before its deadline")
+			continue
+		}
+		s.running++
+		best.result <- nil
+	}
+}
+
+// Restart forgets the service times, which are those of another process of the backend server.
+func (s *Slots) Restart() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.times = newServiceTimes()
+}
--- a/cmd/marjoramcroftd/main.go
+++ b/cmd/marjoramcroftd/main.go
@@ -1,4 +1,5 @@
-// Command marjoramcroftd is the daemon beside a backend server.
+// Command marjoramcroftd is the daemon beside a backend server. With the argument "platform" it runs on
+// the users' platform.
 package main
 
 import (
@@ -6,8 +7,13 @@
 	"os"
 
 	"github.com/marjoramcroft/marjoramcroft/daemon"
+	"github.com/marjoramcroft/marjoramcroft/platform"
 )
 
 func main() {
-	os.Exit(daemon.Main(context.Background(), os.Args[1:], os.Stdout, os.Stderr))
+	ctx, args := context.Background(), os.Args[1:]
+	if len(args) > 0 && args[0] == "platform" {
+		os.Exit(platform.Main(ctx, args[1:], os.Stdout, os.Stderr))
+	}
+	os.Exit(daemon.Main(ctx, args, os.Stdout, os.Stderr))
 }
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -7,8 +7,8 @@
 
 // catalogue joins the definitions of all groups. The hundreds of an ID give its group:
 // 1 daemon, 2 store and acceptance, 3 distribution, 4 membership, 5 caps, 6 calls,
-// 7 idempotency keys and suspects.
-var catalogue = join(daemonEvents, storeEvents, fanoutEvents, peersEvents, quotaEvents, callsEvents, dedupEvents)
+// 7 idempotency keys and suspects, 8 open services.
+var catalogue = join(daemonEvents, storeEvents, fanoutEvents, peersEvents, quotaEvents, callsEvents, dedupEvents, meshEvents)
 
 func join(groups ...map[ID]Def) map[ID]Def {
 	out := map[ID]Def{}
--- a/event/log.go
+++ b/event/log.go
@@ -22,6 +22,7 @@
 	return &Log{l: log.NewWithOptions(w, log.Options{
 		Level:           lv,
 		ReportTimestamp: true,
+		TimeFormat:      "2006-01-02T15:04:05.000Z07:00",
 		Formatter:       log.LogfmtFormatter,
 	})}
 }
--- /dev/null
+++ b/mesh/storeloop.go
@@ -0,0 +1,292 @@
+package mesh
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"time"
+
+	"github.com/marjoramcroft/marjoramcroft/delay"
+	"github.com/marjoramcroft/marjoramcroft/event"
+	"github.com/marjoramcroft/marjoramcroft/ident"
+	"github.com/marjoramcroft/marjoramcroft/store"
+	"github.com/marjoramcroft/marjoramcroft/wire"
+)
+
+const (
+	// leastPause and mostPause bound the wait after a failed call to the store. Entries have to be back two
+	// seconds after its return, and all daemons together stay far below its rates.
+	leastPause = 100 * time.Millisecond
+	mostPause  = 500 * time.Millisecond
+	// gatherPause lets changes that follow each other closely arrive with one watch.
+	gatherPause = 30 * time.Millisecond
+)
+
+// pause waits after a failure, longer after several, with jitter.
+func (n *Node) pause(failures int) bool {
+	d := min(mostPause, leastPause<<min(failures, 4))
+	return delay.Sleep(n.ctx, d/2+time.Duration(n.d.Random()*float64(d)/2))
+}
+
+// follow keeps configuration and roster in line with the store.
+func (n *Node) follow() {
+	failures, after := 0, int64(0)
+	for n.ctx.Err() == nil {
+		var err error
+		if after == 0 {
+			after, err = n.read()
+		} else if after, err = n.watch(after); errors.Is(err, store.ErrCompacted) {
+			n.d.Log.Emit(event.HistoryLost, "After", after)
+			after = 0
+			continue
+		}
+		if err == nil {
+			failures = 0
+			n.storeState(true, nil)
+			continue
+		}
+		// What changed meanwhile may be gone from the history, and a lease may have ended.
+		failures++
+		n.storeState(false, err)
+		if !n.pause(failures) {
+			return
+		}
+	}
+}
+
+// storeState logs that the store was lost or is back.
+func (n *Node) storeState(ok bool, err error) {
+	if n.synced.Swap(ok) == ok {
+		return
+	}
+	if ok {
+		n.d.Log.Emit(event.StoreRegained, "Version", n.Version())
+		return
+	}
+	n.d.Log.Emit(event.StoreLost, "Error", err, "Version", n.Version())
+}
+
+// read takes the whole state and returns the revision from which to watch.
+func (n *Node) read() (int64, error) {
+	values, after, err := n.d.Store.Snapshot(n.ctx, n.d.Keys.Both)
+	if err != nil {
+		return 0, err
+	}
+	there := map[ident.Addr]bool{}
+	for _, v := range values {
+		if a, ok := n.takeValue(v); ok {
+			there[a] = true
+		}
+	}
+	for _, a := range n.roster.addrs() {
+		if !there[a] && a != n.d.Self {
+			n.roster.unstored(a)
+		}
+	}
+	if !there[n.d.Self] {
+		n.lapsed()
+	}
+	return max(1, after), nil
+}
+
+// watch takes the next changes and returns the revision from which to go on.
+func (n *Node) watch(after int64) (int64, error) {
+	changes, next, err := n.d.Store.Follow(n.ctx, n.d.Keys.Both, after, n.d.Config.WatchWait())
+	if err != nil {
+		return after, err
+	}
+	for _, c := range changes {
+		if !c.Gone {
+			n.takeValue(c.Value)
+			continue
+		}
+		if a, ok := n.peerOf(c.Key); ok {
+			if a == n.d.Self {
+				n.lapsed()
+			} else {
+				n.roster.unstored(a)
+			}
+		}
+	}
+	if len(changes) > 0 {
+		delay.Sleep(n.ctx, gatherPause)
+	}
+	return max(after, next), nil
+}
+
+// peerOf returns the daemon whose entry key is.
+func (n *Node) peerOf(key string) (ident.Addr, bool) {
+	a, ok := strings.CutPrefix(key, n.d.Keys.Peers)
+	return ident.Addr(a), ok && a != ""
+}
+
+// takeValue takes a value of the store. It returns the daemon whose entry it is.
+func (n *Node) takeValue(v store.Value) (ident.Addr, bool) {
+	if v.Key == n.d.Keys.Config {
+		n.adopt(v.Data, "Store", v.Key)
+		return "", false
+	}
+	addr, ok := n.peerOf(v.Key)
+	if !ok {
+		return "", false
+	}
+	var p Peer
+	if err := wire.Decode(v.Data, &p); err != nil || p.Addr != addr {
+		n.d.Log.Emit(event.EntryUnreadable, "Key", v.Key, "Revision", v.Revision, "Error", err)
+		return "", false
+	}
+	if addr == n.d.Self {
+		n.takeOwn(p, v.Revision)
+		return addr, true
+	}
+	n.learn(p, false)
+	n.roster.stored(addr, v.Revision)
+	return addr, true
+}
+
+// entryKey is the own entry in the store. It is guarded by Node.mu.
+type entryKey struct {
+	lease    store.LeaseID
+	revision int64 // of the key; zero: absent
+	written  int64 // seq of the entry there; -1: another life's, or none
+}
+
+// takeOwn notes the revision of the own entry. An entry of an earlier life is replaced, by one that counts as
+// later even if the clock has been set back.
+func (n *Node) takeOwn(p Peer, revision int64) {
+	n.mu.Lock()
+	if revision <= n.entry.revision {
+		n.mu.Unlock()
+		return
+	}
+	n.entry.revision = revision
+	other := p.Life != n.life
+	if other {
+		n.entry.written = -1
+		n.life = max(n.life, p.Life+1)
+	}
+	n.mu.Unlock()
+	if other {
+		n.publish()
+	}
+}
+
+// lapsed notes that the store does not hold the own entry.
+func (n *Node) lapsed() {
+	n.mu.Lock()
+	n.entry.revision, n.entry.written = 0, -1
+	n.mu.Unlock()
+	select {
+	case n.changed <- struct{}{}:
+	default:
+	}
+}
+
+// register keeps the own entry in the store.
+func (n *Node) register() {
+	renew := time.NewTicker(n.d.Config.Lease / 3)
+	defer renew.Stop()
+	failures := 0
+	n.mu.Lock()
+	n.entry.written = -1
+	n.mu.Unlock()
+	for n.ctx.Err() == nil {
+		if err := n.write(n.ctx); err != nil {
+			failures++
+			if !n.pause(failures) {
+				return
+			}
+			continue
+		}
+		failures = 0
+		select {
+		case <-n.ctx.Done():
+			return
+		case <-n.changed:
+		case <-renew.C:
+			n.renew()
+		}
+	}
+}
+
+// renew extends the lease. One that has ended is replaced with the next write.
+func (n *Node) renew() {
+	n.mu.Lock()
+	id := n.entry.lease
+	n.mu.Unlock()
+	if err := n.d.Store.Renew(n.ctx, id); errors.Is(err, store.ErrLeaseLost) {
+		n.d.Log.Emit(event.LeaseEnded, "Lease", id)
+		n.mu.Lock()
+		n.entry = entryKey{written: -1}
+		n.mu.Unlock()
+	}
+	// Other failures are those of the store; the next renewal comes before the lease ends.
+}
+
+// write brings the own entry up to date.
+func (n *Node) write(ctx context.Context) error {
+	for {
+		self := n.self()
+		n.mu.Lock()
+		e := n.entry
+		n.mu.Unlock()
+		if e.written == self.Seq {
+			return nil
+		}
+		if e.lease == 0 {
+			id, err := n.d.Store.Grant(ctx, n.d.Config.Lease)
+			if err != nil {
+				return err
+			}
+			n.mu.Lock()
+			n.entry.lease = id
+			n.mu.Unlock()
+			e.lease = id
+		}
+		data, err := wire.Encode(self)
+		if err != nil {
+			return err
+		}
+		v, err := n.d.Store.Swap(ctx, n.d.Keys.Peers+string(self.Addr), e.revision, data, e.lease)
+		if err := n.wrote(self, v, err); err != nil {
+			return err
+		}
+	}
+}
+
+// wrote takes the outcome of a write of the own entry. A write whose outcome is unknown is resolved by the
+// next one, which fails if the key is at another revision and says at which.
+func (n *Node) wrote(self Peer, v store.Value, err error) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	switch {
+	case err == nil:
+		n.entry.revision, n.entry.written = v.Revision, self.Seq
+		return nil
+	case errors.Is(err, store.ErrConflict):
+		n.entry.revision, n.entry.written = v.Revision, -1
+		return nil
+	case errors.Is(err, store.ErrLeaseLost):
+		n.entry.lease, n.entry.written = 0, -1
+		return nil
+	}
+	return err
+}
+
+// leaveTimeout bounds the removal of the own entry at a stop. It ends with its lease otherwise.
+const leaveTimeout = 300 * time.Millisecond
+
+// leaveStore ends the lease, and with it the own entry.
+func (n *Node) leaveStore() {
+	n.mu.Lock()
+	id := n.entry.lease
+	n.mu.Unlock()
+	if id == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(n.ctx, leaveTimeout)
+	defer cancel()
+	if err := n.d.Store.Revoke(ctx, id); err != nil {
+		n.d.Log.Emit(event.LeaveIncomplete, "Lease", id, "Error", err)
+	}
+}
--- /dev/null
+++ b/mesh/visit.go
@@ -0,0 +1,238 @@
+package mesh
+
+import (
+	"context"
+	"time"
+
+	"github.com/marjoramcroft/marjoramcroft/ident"
+	"github.com/marjoramcroft/marjoramcroft/refuse"
+	"github.com/marjoramcroft/marjoramcroft/route"
+)
+
+const (
+	// maxBusy bounds the servers that are asked while all are busy: each costs a round trip.
+	maxBusy = 4
+	// lateShare is the part of a caller's remaining time for which a call that misses its goal still
+	// waits. The rest is for the work itself.
+	lateShare = 0.5
+	// leastRetry is the least advice to a refused caller, below which it would find the same queue.
+	leastRetry = 50 * time.Millisecond
+	// hedgeFactor times the usual service time without an answer begins a second attempt.
+	hedgeFactor = 4
+	// leastHedge is the least wait for a second attempt: below, scheduling alone would begin one.
+	leastHedge = 60 * time.Millisecond
+)
+
+// result is the end of one attempt.
+type result struct {
+	server ident.Addr
+	reply  *reply
+	err    error
+	took   time.Duration
+}
+
+// run makes the attempts of a call until one is answered or no more is allowed.
+func (v *visit) run(ctx context.Context) *Answer {
+	v.without = map[ident.Addr]bool{}
+	results := make(chan result, 4+maxBusy)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel() // ends the attempts that were overtaken
+	running := 0
+	if v.start(ctx, results, v.onTime()) {
+		running++
+	}
+	hedge := time.NewTimer(v.hedgeAfter())
+	defer hedge.Stop()
+	for running > 0 {
+		select {
+		case <-hedge.C:
+			if v.mayHedge(running) && v.start(ctx, results, v.onTime()) {
+				v.n.d.Stats.Retried("Hedge")
+				running++
+			}
+		case r := <-results:
+			running--
+			a, again := v.settle(ctx, r)
+			if a != nil {
+				return a
+			}
+			if again && running == 0 && v.start(ctx, results, v.onTime()) {
+				running++
+			}
+			if running == 0 && v.wantsWait() && v.start(ctx, results, v.late()) {
+				running++
+			}
+		}
+	}
+	return v.outcome(ctx)
+}
+
+// onTime is the longest wait with which the call still reaches its goal.
+func (v *visit) onTime() time.Duration { return max(0, v.goal.Sub(v.n.d.Now())) }
+
+// late is the longest wait for a call that misses its goal.
+func (v *visit) late() time.Duration {
+	return time.Duration(lateShare * float64(max(0, v.limit.Sub(v.n.d.Now()))))
+}
+
+// wantsWait reports whether the call is to wait at a server that was busy, having asked all others.
+// It is asked once: the server is then no longer among the spare ones.
+func (v *visit) wantsWait() bool {
+	if len(v.spare) == 0 || v.sent > 0 {
+		return false
+	}
+	best := v.spare[0]
+	v.spare = nil
+	delete(v.without, best)
+	return v.waits < v.late()
+}
+
+// start begins an attempt at the best server and reports whether there is one.
+func (v *visit) start(ctx context.Context, results chan<- result, patience time.Duration) bool {
+	now := v.n.d.Now()
+	list, known := v.n.roster.candidates(v.service, v.without, now)
+	c, ok := v.n.board.Pick(list)
+	if !ok {
+		if known == 0 {
+			v.refusal = refuse.NotRun(refuse.NoServer, "no ready backend server of "+string(v.service)+" is known")
+		} else if v.refusal == nil {
+			v.refusal = refuse.NotRun(refuse.NoServer, "no backend server of "+string(v.service)+" can be reached")
+		}
+		return false
+	}
+	v.without[c.Addr] = true
+	req := &request{
+		ID: v.c.ID, Service: v.service, Route: v.route.ID, Caller: v.n.d.Caller(), Method: v.c.Method, URI: v.c.URI,
+		Host: v.c.Host, Header: v.c.Header, Body: v.c.Body, Idempotent: v.route.Idempotent, Priority: v.route.Priority,
+		Goal: v.goal.Sub(now), Left: v.limit.Sub(now), Patience: patience, Version: v.version,
+	}
+	go func() {
+		r, err := v.n.send(ctx, c.Addr, req)
+		out := result{server: c.Addr, reply: r, err: err, took: v.n.d.Now().Sub(now)}
+		v.n.board.End(c.Addr, out.observed(ctx))
+		results <- out
+	}()
+	return true
+}
+
+// observed returns what an attempt says of its server.
+func (r *result) observed(ctx context.Context) route.Result {
+	switch {
+	case r.err != nil && ctx.Err() != nil:
+		return route.Result{} // given up here
+	case r.err != nil:
+		return route.Result{Refused: true, Failed: true}
+	}
+	out := route.Result{Report: r.reply.Report, Known: r.reply.Report.Slots > 0, Took: r.took}
+	switch r.reply.Outcome {
+	case lost:
+		out.Failed = true
+	case answered:
+		out.Failed = r.reply.Status >= 500
+	case shed:
+		out.Failed = true
+	default:
+		out.Took = 0
+		out.Refused = r.reply.Wait == 0
+	}
+	return out
+}
+
+// settle takes the end of an attempt. It returns the answer to the call, or whether another attempt may
+// be made.
+func (v *visit) settle(ctx context.Context, r result) (*Answer, bool) {
+	v.note(r)
+	if r.err != nil {
+		if mayHaveRun(r.err) {
+			v.sent++
+			v.maybeRan = true
+			return nil, v.mayRepeat(ctx)
+		}
+		return nil, ctx.Err() == nil && len(v.trace) < maxBusy+v.route.Attempts
+	}
+	switch r.reply.Outcome {
+	case answered:
+		v.sent++
+		a := &Answer{Status: r.reply.Status, Header: r.reply.Header, Body: r.reply.Body}
+		if a.Status < 500 || !v.mayRepeat(ctx) {
+			return a, false
+		}
+		v.failure = a
+		return nil, true
+	case bounced:
+		return nil, v.bounced(ctx, r)
+	case shed:
+		v.sent++
+		v.refusal = refuse.NotRun(r.reply.Reason, r.reply.Detail)
+		return nil, ctx.Err() == nil && v.sent < v.attempts() && v.n.retries.Take(v.service)
+	default:
+		v.sent++
+		v.maybeRan = true
+		return nil, v.mayRepeat(ctx)
+	}
+}
+
+// bounced notes a server that did not take the call, and reports whether another is asked.
+func (v *visit) bounced(ctx context.Context, r result) bool {
+	if v.refusal == nil || r.reply.Wait > 0 {
+		v.refusal = refuse.NotRun(r.reply.Reason, r.reply.Detail)
+	}
+	if r.reply.Wait > 0 {
+		if v.busy++; v.waits == 0 || r.reply.Wait < v.waits {
+			v.waits = r.reply.Wait
+			v.spare = append([]ident.Addr{r.server}, v.spare...)
+		}
+	}
+	return ctx.Err() == nil && v.busy < maxBusy && len(v.trace) < 2*maxBusy
+}
+
+// mayRepeat reports whether a call that may have run is sent again, and takes the attempt from the budget.
+func (v *visit) mayRepeat(ctx context.Context) bool {
+	if !v.route.Idempotent || ctx.Err() != nil || v.sent >= v.attempts() || !v.n.retries.Take(v.service) {
+		return false
+	}
+	v.n.d.Stats.Retried("Failed")
+	return true
+}
+
+func (v *visit) attempts() int { return max(1, v.route.Attempts) }
+
+// hedgeAfter returns the wait after which a second attempt is made beside a slow one.
+func (v *visit) hedgeAfter() time.Duration {
+	return max(leastHedge, hedgeFactor*v.n.usual.of(v.route.ID))
+}
+
+// mayHedge reports whether a second attempt may be made beside the one that runs.
+func (v *visit) mayHedge(running int) bool {
+	return v.route.Idempotent && running == 1 && v.sent+running < v.attempts() && v.n.retries.Take(v.service)
+}
+
+// outcome returns the answer to a call of which no attempt was answered well.
+func (v *visit) outcome(ctx context.Context) *Answer {
+	timedOut := !v.n.d.Now().Before(v.limit) || ctx.Err() != nil
+	switch {
+	case v.failure != nil:
+		return v.failure
+	case v.maybeRan && timedOut:
+		return &Answer{Refusal: refuse.New(refuse.DeadlinePassed, refuse.RanUnknown, "no answer in time")}
+	case v.maybeRan:
+		return &Answer{Refusal: refuse.New(refuse.AnswerLost, refuse.RanUnknown, "no answer of a backend server")}
+	case v.refusal == nil:
+		v.refusal = refuse.NotRun(refuse.NoServer, "no backend server took the call")
+	}
+	return &Answer{Refusal: v.refusal, RetryAfter: max(leastRetry, v.waits)}
+}
+
+// note adds the attempt to the trace.
+func (v *visit) note(r result) {
+	s := step{server: r.server, took: r.took, name: "Unreachable"}
+	if r.err == nil {
+		s.name, s.reason = outcomeName(r.reply), string(r.reply.Reason)
+		if r.reply.Outcome == answered && r.reply.Status < 400 {
+			v.n.usual.add(v.route.ID, r.took)
+		}
+	} else if mayHaveRun(r.err) {
+		s.name = "NoAnswer"
+	}
+	v.trace = append(v.trace, s)
+}
--- /dev/null
+++ b/origin/header.go
@@ -0,0 +1,25 @@
+package origin
+
+import (
+	"net/http"
+	"net/textproto"
+	"strings"
+)
+
+// hopByHop lists the headers that concern one connection only (RFC 9110, section 7.6.1).
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
+}
+
+// StripHops removes the headers of one connection; named are the values of its header Connection.
+func StripHops(h http.Header, named []string) {
+	for _, v := range named {
+		for name := range strings.SplitSeq(v, ",") {
+			delete(h, textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name)))
+		}
+	}
+	for _, k := range hopByHop {
+		delete(h, k)
+	}
+}
--- a/proxy/header.go
+++ b/proxy/header.go
@@ -2,8 +2,9 @@
 
 import (
 	"net/http"
-	"net/textproto"
 	"strings"
+
+	"github.com/marjoramcroft/marjoramcroft/origin"
 )
 
 // Headers of a call beside those of its chain, which are in package retry.
@@ -23,12 +24,6 @@
 
 const ownPrefix = "Marjoramcroft-"
 
-// hopByHop lists the headers that concern one connection only (RFC 9110, section 7.6.1).
-var hopByHop = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
-}
-
 // endToEnd returns a copy of h without the headers of one connection and without the
 // headers of this system, which each hop sets itself.
 func endToEnd(h http.Header) http.Header {
@@ -38,7 +33,7 @@
 			out[k] = vs
 		}
 	}
-	stripHops(out, h["Connection"])
+	origin.StripHops(out, h["Connection"])
 	return out
 }
 
@@ -50,17 +45,5 @@
 			delete(h, k)
 		}
 	}
-	stripHops(h, h["Connection"])
-}
-
-// stripHops removes the headers of one connection; named are the values of its header Connection.
-func stripHops(h http.Header, named []string) {
-	for _, v := range named {
-		for name := range strings.SplitSeq(v, ",") {
-			delete(h, textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name)))
-		}
-	}
-	for _, k := range hopByHop {
-		delete(h, k)
-	}
+	origin.StripHops(h, h["Connection"])
 }
--- /dev/null
+++ b/route/board.go
@@ -0,0 +1,212 @@
+package route
+
+import (
+	"sync"
+	"time"
+
+	"github.com/marjoramcroft/marjoramcroft/ident"
+)
+
+// Report is the load of a backend server as its daemon states it in an answer.
+type Report struct {
+	Running  int
+	Waiting  int
+	Slots    int
+	Mean     time.Duration // service time
+	Slowness int           // duration of work at this moment in percent of the usual; zero: not known
+}
+
+// Candidate is a backend server that may take a request.
+type Candidate struct {
+	Addr  ident.Addr // of the daemon beside it
+	Place ident.Place
+	Slots int
+	Cold  bool // started a short time ago
+}
+
+// Result is how an attempt ended.
+type Result struct {
+	Report  Report
+	Known   bool // Report is set
+	Took    time.Duration
+	Failed  bool // the backend server failed the request, or its answer was lost
+	Refused bool // the daemon or the backend server cannot be reached
+}
+
+const (
+	// hintAge is the age at which the calls of other daemons that a report states count half: calls
+	// take some 100 ms.
+	hintAge = 250 * time.Millisecond
+	// slownessAge is how long a stated slowness is used. It changes many times a second.
+	slownessAge = 300 * time.Millisecond
+	// failureAge is the time in which the rate of failures halves without further ones, so that a
+	// server that failed is tried again.
+	failureAge = 2 * time.Second
+	// failureShare is the weight of one more result in the rate of failures: about the last 10 count.
+	failureShare = 0.1
+	// failureCost is what a certain failure counts for in a score: a request that fails is worth nothing,
+	// so that a slow answer is better.
+	failureCost = 2 * time.Second
+	// coldFactor is the slowness of a server that has just started, before it is known.
+	coldFactor = 2
+	// leastPause and longestPause bound the time for which an unreachable server is passed over.
+	leastPause   = 200 * time.Millisecond
+	longestPause = 1600 * time.Millisecond
+	// crowding is the part of its service time by which a full server is worse than an idle one. Some
+	// servers slow down when they are nearly full.
+	crowding = 0.2
+)
+
+// distances are what a request to another data centre and to another region costs beside a local one, as time:
+// the round trip, and as much again for the bytes, which are paid for.
+var distances = [3]time.Duration{0, 4 * time.Millisecond, 80 * time.Millisecond}
+
+// standing is what is known of one server.
+type standing struct {
+	mine     int // own attempts that run
+	report   Report
+	known    bool
+	reported time.Time
+	others   float64 // attempts of other daemons at the report
+	failures float64 // rate at failedAt
+	failedAt time.Time
+	pause    time.Duration
+	until    time.Time // passed over until then
+}
+
+// Board chooses backend servers by the load that comes with their answers and by own attempts that run. Its
+// methods are safe for concurrent use.
+type Board struct {
+	place  ident.Place
+	now    func() time.Time
+	random func() float64
+
+	mu      sync.Mutex
+	servers map[ident.Addr]*standing
+}
+
+// NewBoard returns a Board for a daemon at place. random returns numbers in [0, 1).
+func NewBoard(place ident.Place, now func() time.Time, random func() float64) *Board {
+	if now == nil {
+		now = time.Now
+	}
+	return &Board{place: place, now: now, random: random, servers: map[ident.Addr]*standing{}}
+}
+
+// Pick chooses among the candidates and counts an attempt there, which End ends. It reports false if
+// there is no candidate that is not paused.
+func (b *Board) Pick(list []Candidate) (Candidate, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.now()
+	best, lowest := -1, time.Duration(0)
+	for i := range list {
+		s := b.at(list[i].Addr)
+		if now.Before(s.until) {
+			continue
+		}
+		// Daemons that see the same reports would all choose the same server.
+		v := b.score(s, &list[i], now)
+		v += time.Duration(b.random() * 0.1 * float64(s.mean()))
+		if best < 0 || v < lowest {
+			best, lowest = i, v
+		}
+	}
+	if best < 0 {
+		return Candidate{}, false
+	}
+	b.at(list[best].Addr).mine++
+	return list[best], true
+}
+
+// score is the expected time to an answer, with distance and failures as time.
+func (b *Board) score(s *standing, c *Candidate, now time.Time) time.Duration {
+	mean := s.mean()
+	switch {
+	case s.known && s.report.Slowness > 0 && now.Sub(s.reported) < slownessAge:
+		mean = mean * time.Duration(s.report.Slowness) / 100
+	case c.Cold && !s.known:
+		mean *= coldFactor
+	}
+	slots := max(1, c.Slots)
+	running := float64(s.mine) + s.decayed(now)
+	v := time.Duration((1 + crowding*min(1, running/float64(slots))) * float64(mean))
+	if over := running + 1 - float64(slots); over > 0 {
+		v += time.Duration(over / float64(slots) * float64(mean))
+	}
+	v += distances[b.place.Distance(c.Place)]
+	return v + time.Duration(s.rate(now)*float64(failureCost))
+}
+
+func (s *standing) mean() time.Duration {
+	if s.known && s.report.Mean > 0 {
+		return s.report.Mean
+	}
+	return 50 * time.Millisecond
+}
+
+// decayed returns the attempts of other daemons that may still run.
+func (s *standing) decayed(now time.Time) float64 {
+	if !s.known {
+		return 0
+	}
+	return s.others / (1 + float64(now.Sub(s.reported))/float64(hintAge))
+}
+
+func (s *standing) rate(now time.Time) float64 {
+	if s.failures == 0 {
+		return 0
+	}
+	return s.failures / (1 + float64(now.Sub(s.failedAt))/float64(failureAge))
+}
+
+// End ends an attempt at addr.
+func (b *Board) End(addr ident.Addr, r Result) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.now()
+	s := b.at(addr)
+	s.mine--
+	if r.Known {
+		s.report, s.known, s.reported = r.Report, true, now
+		s.others = max(0, float64(r.Report.Running+r.Report.Waiting-s.mine))
+	}
+	if r.Refused {
+		s.pause = min(longestPause, max(leastPause, 2*s.pause))
+		s.until = now.Add(s.pause/2 + time.Duration(b.random()*float64(s.pause)))
+		return
+	}
+	rate := s.rate(now)
+	if r.Failed {
+		rate += failureShare * (1 - rate)
+	} else if r.Took > 0 {
+		rate -= failureShare * rate
+		s.pause = 0
+	}
+	s.failures, s.failedAt = rate, now
+}
+
+// Forget ends the pause of a server that has shown that it is there, such as by a new announcement.
+func (b *Board) Forget(addr ident.Addr) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.at(addr)
+	s.until, s.pause = time.Time{}, 0
+}
+
+// Reset drops what was learnt of a server, whose process is another one now.
+func (b *Board) Reset(addr ident.Addr) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.at(addr)
+	*s = standing{mine: s.mine}
+}
+
+func (b *Board) at(addr ident.Addr) *standing {
+	s := b.servers[addr]
+	if s == nil {
+		s = &standing{}
+		b.servers[addr] = s
+	}
+	return s
+}
--- a/stats/set.go
+++ b/stats/set.go
@@ -3,6 +3,7 @@
 
 import (
 	"strings"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 
@@ -66,3 +67,34 @@
 	})
 	return out
 }
+
+// Time adds d to the histogram name, in microseconds.
+func (s *Set) Time(name string, d time.Duration) {
+	h := s.r.GetOrRegister(name, func() metrics.Histogram {
+		// The sample keeps the last minutes, as go-metrics recommends for timers.
+		return metrics.NewHistogram(metrics.NewExpDecaySample(1028, 0.015))
+	})
+	if h, ok := h.(metrics.Histogram); ok {
+		h.Update(d.Microseconds())
+	}
+}
+
+// Quantiles are the count and quantiles of a histogram, in microseconds.
+type Quantiles struct {
+	Count         int64
+	P50, P99, Max float64
+}
+
+// Histograms returns the quantiles of all histograms.
+func (s *Set) Histograms() map[string]Quantiles {
+	out := map[string]Quantiles{}
+	s.r.Each(func(name string, v any) {
+		h, ok := v.(metrics.Histogram)
+		if !ok {
+			return
+		}
+		p := h.Snapshot().Percentiles([]float64{0.5, 0.99})
+		out[name] = Quantiles{Count: h.Count(), P50: p[0], P99: p[1], Max: float64(h.Max())}
+	})
+	return out
+}
--- a/store/call.go
+++ b/store/call.go
@@ -74,7 +74,8 @@
 func (c *Client) settle(ctx, actx context.Context, o op, err error) error {
 	isWatch := o == opWatch
 	switch {
-	case err == nil, errors.Is(err, ErrConflict), errors.Is(err, ErrLeaseLost), errors.Is(err, ErrTooLarge):
+	case err == nil, errors.Is(err, ErrConflict), errors.Is(err, ErrLeaseLost), errors.Is(err, ErrTooLarge),
+		errors.Is(err, ErrCompacted):
 		c.count(o, answered(err))
 		if c.breaker.succeeded() {
 			c.Log.Emit(event.StoreRecovered)
@@ -113,6 +114,8 @@
 		return "LeaseLost"
 	case errors.Is(err, ErrTooLarge):
 		return "TooLarge"
+	case errors.Is(err, ErrCompacted):
+		return "Compacted"
 	default:
 		return "OK"
 	}
--- a/store/driver.go
+++ b/store/driver.go
@@ -29,4 +29,11 @@
 	// Watch blocks until key is at a revision above after, or, if after is above 0, until key
 	// is absent; it returns the current state in both cases. Intermediate states may be skipped.
 	Watch func(ctx context.Context, key string, after int64) (Value, error)
+	// Snapshot returns the values whose keys have the prefix, and a revision from which Follow tells
+	// all later changes. Nil: not supported.
+	Snapshot func(ctx context.Context, prefix string) ([]Value, int64, error)
+	// Follow waits, at most for the given time, until a key with the prefix has changed after a
+	// revision. It returns the changes, none if there were none, and the revision from which to go on.
+	// ErrCompacted means that these changes are no longer known. Nil: not supported.
+	Follow func(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Change, int64, error)
 }
--- a/store/errors.go
+++ b/store/errors.go
@@ -8,6 +8,9 @@
 	ErrConflict = errors.New("revision conflict")
 	// ErrLeaseLost means that the lease has ended.
 	ErrLeaseLost = errors.New("lease lost")
+	// ErrCompacted means that the store has dropped the changes after the revision. The state has
+	// to be read again.
+	ErrCompacted = errors.New("revision compacted")
 	// ErrUnavailable means that the store did not run the call.
 	ErrUnavailable = errors.New("store unavailable")
 	// ErrTooLarge means that the data exceeds MaxValue. Nothing was written.
--- /dev/null
+++ b/store/follow.go
@@ -0,0 +1,39 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Snapshot returns the values whose keys have the prefix, and a revision from which Follow goes on.
+func (c *Client) Snapshot(ctx context.Context, prefix string) ([]Value, int64, error) {
+	type result struct {
+		values []Value
+		after  int64
+	}
+	r, err := call(ctx, c, opSnapshot, prefix, func(ctx context.Context) (r result, err error) {
+		r.values, r.after, err = c.Driver.Snapshot(ctx, prefix)
+		return r, err
+	})
+	return r.values, r.after, err
+}
+
+// Follow returns the changes of keys with the prefix after a revision, none if there were none within
+// wait. A store that does not answer within Config.WatchPeriod, which has to be longer than wait,
+// is unavailable.
+func (c *Client) Follow(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Change, int64, error) {
+	type result struct {
+		changes []Change
+		after   int64
+	}
+	r, err := call(ctx, c, opWatch, prefix, func(ctx context.Context) (r result, err error) {
+		r.changes, r.after, err = c.Driver.Follow(ctx, prefix, after, wait)
+		return r, err
+	})
+	if errors.Is(err, errWatchPeriod) {
+		err = fmt.Errorf("%w: no answer to a watch of %s", ErrUnavailable, prefix)
+	}
+	return r.changes, r.after, err
+}
--- a/store/op.go
+++ b/store/op.go
@@ -12,12 +12,14 @@
 	opRenew  op = "Renew"
 	opRevoke op = "Revoke"
 	opWatch  op = "Watch"
+
+	opSnapshot op = "Snapshot"
 )
 
 // isWrite reports whether the call changes the store.
 func (o op) isWrite() bool {
 	switch o {
-	case opGet, opList, opWatch:
+	case opGet, opList, opWatch, opSnapshot:
 		return false
 	}
 	return true
--- a/store/value.go
+++ b/store/value.go
@@ -9,3 +9,9 @@
 
 // MaxValue is the store's limit on the size of a value, in bytes.
 const MaxValue = 1 << 20
+
+// Change is a change of a key: its new value, or its end.
+type Change struct {
+	Value
+	Gone bool
+}
