--- a/admit/slots.go
+++ b/admit/slots.go
@@ -37,10 +37,10 @@
 	result chan error    // nil: has a slot
 }
 
-// Slots admits requests without a member to one backend server: as many at once as it has slots, and
-// of those that wait first the ones that can still reach their goal, by priority and then by goal. With the
-// earliest goal alone, requests that are late already would make all that follow late too. Its methods
-// are safe for concurrent use.
+// Slots admits requests without a member to one backend server: as many at once as it has slots. Of those
+// that wait, a higher priority goes first, then the one that is due first: at its goal, or at its deadline
+// if it can no longer reach the goal. Were late requests due at their goal, they would make all that follow
+// late too. Its methods are safe for concurrent use.
 type Slots struct {
 	now func() time.Time
 
@@ -161,23 +161,36 @@
 
 // before reports whether w gets a slot before o.
 func (w *slotWaiter) before(o *slotWaiter, now time.Time) bool {
-	if a, b := w.late(now), o.late(now); a != b {
-		return !a
-	}
 	if w.ask.Priority != o.ask.Priority {
 		return w.ask.Priority < o.ask.Priority
 	}
-	return w.ask.Goal.Before(o.ask.Goal)
+	return w.due(now).Before(o.due(now))
 }
 
-// late reports whether the request is expected to miss its goal even if it starts now.
-func (w *slotWaiter) late(now time.Time) bool { return now.Add(w.cost).After(w.ask.Goal) }
+// due is when the request is to have ended.
+func (w *slotWaiter) due(now time.Time) time.Time {
+	if now.Add(w.cost).After(w.ask.Goal) {
+		return w.ask.Deadline
+	}
+	return w.ask.Goal
+}
 
+// last is the latest time at which the request can start and still end before its deadline.
+func (w *slotWaiter) last() time.Time { return w.ask.Deadline.Add(-w.cost) }
+
+// await waits for a slot, until the caller leaves or the request can no longer end in time: its caller learns
+// at once that it has not run.
 func (s *Slots) await(ctx context.Context, w *slotWaiter) error {
+	t := time.NewTimer(w.last().Sub(s.now()))
+	defer t.Stop()
+	var refusal error
 	select {
 	case err := <-w.result:
 		return err
+	case <-t.C:
+		refusal = refuse.NotRun(refuse.DeadlineTooShort, "the request can no longer end before its deadline")
 	case <-ctx.Done():
+		refusal = ended(ctx.Err())
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -187,7 +200,7 @@
 			s.dispatch()
 		}
 	}
-	return ended(ctx.Err())
+	return refusal
 }
 
 func (s *Slots) remove(w *slotWaiter) bool {
@@ -210,8 +223,7 @@
 	s.dispatch()
 }
 
-// dispatch gives free slots to requests that wait. One that can no longer end before its deadline is
-// refused, so that its caller learns at once that it has not run.
+// dispatch gives free slots to requests that wait.
 func (s *Slots) dispatch() {
 	now := s.now()
 	for s.running < s.limit && len(s.queue) > 0 {
@@ -222,10 +234,6 @@
 			}
 		}
 		s.remove(best)
-		if now.Add(best.cost / 2).After(best.ask.Deadline) {
-			best.result <- refuse.NotRun(refuse.DeadlineTooShort, "the request can no longer end before its deadline")
-			continue
-		}
 		s.running++
 		best.result <- nil
 	}
--- a/mesh/storeloop.go
+++ b/mesh/storeloop.go
@@ -18,8 +18,9 @@
 	// seconds after its return, and all daemons together stay far below its rates.
 	leastPause = 100 * time.Millisecond
 	mostPause  = 500 * time.Millisecond
-	// gatherPause lets changes that follow each other closely arrive with one watch.
-	gatherPause = 30 * time.Millisecond
+	// gatherPause lets changes that follow each other closely arrive with one watch: each watch is a call to
+	// the store. It is a fifth of the time in which a configuration has to be in force.
+	gatherPause = 500 * time.Millisecond
 )
 
 // pause waits after a failure, longer after several, with jitter.
--- a/mesh/target.go
+++ b/mesh/target.go
@@ -78,6 +78,7 @@
 	if err != nil {
 		return n.failed(s, r, err, d)
 	}
+	resp.Header.Del(n.d.Names.Request) // known to the entry
 	out := &reply{Outcome: answered, Status: resp.Status, Header: resp.Header, Body: resp.Body, Took: d}
 	if resp.Load.Known {
 		out.Report.Slowness = resp.Load.Slowness
--- a/mesh/visit.go
+++ b/mesh/visit.go
@@ -14,7 +14,10 @@
 	maxBusy = 4
 	// lateShare is the part of a caller's remaining time for which a call that misses its goal still
 	// waits. The rest is for the work itself.
-	lateShare = 0.5
+	lateShare = 0.3
+	// answerMargin is taken from the time that is left to a backend server, so that what became of the request
+	// is known before the caller leaves.
+	answerMargin = 10 * time.Millisecond
 	// leastRetry is the least advice to a refused caller, below which it would find the same queue.
 	leastRetry = 50 * time.Millisecond
 	// hedgeFactor times the usual service time without an answer begins a second attempt.
@@ -91,7 +94,7 @@
 func (v *visit) start(ctx context.Context, results chan<- result, patience time.Duration) bool {
 	now := v.n.d.Now()
 	list, known := v.n.roster.candidates(v.service, v.without, now)
-	c, ok := v.n.board.Pick(list)
+	c, ok := v.n.board.Pick(list, v.goal.Sub(now))
 	if !ok {
 		if known == 0 {
 			v.refusal = refuse.NotRun(refuse.NoServer, "no ready backend server of "+string(v.service)+" is known")
@@ -104,7 +107,7 @@
 	req := &request{
 		ID: v.c.ID, Service: v.service, Route: v.route.ID, Caller: v.n.d.Caller(), Method: v.c.Method, URI: v.c.URI,
 		Host: v.c.Host, Header: v.c.Header, Body: v.c.Body, Idempotent: v.route.Idempotent, Priority: v.route.Priority,
-		Goal: v.goal.Sub(now), Left: v.limit.Sub(now), Patience: patience, Version: v.version,
+		Goal: v.goal.Sub(now), Left: v.limit.Sub(now) - answerMargin, Patience: patience, Version: v.version,
 	}
 	go func() {
 		r, err := v.n.send(ctx, c.Addr, req)
--- a/route/board.go
+++ b/route/board.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -44,9 +45,6 @@
 	failureAge = 2 * time.Second
 	// failureShare is the weight of one more result in the rate of failures: about the last 10 count.
 	failureShare = 0.1
-	// failureCost is what a certain failure counts for in a score: a request that fails is worth nothing,
-	// so that a slow answer is better.
-	failureCost = 2 * time.Second
 	// coldFactor is the slowness of a server that has just started, before it is known.
 	coldFactor = 2
 	// leastPause and longestPause bound the time for which an unreachable server is passed over.
@@ -57,9 +55,27 @@
 	crowding = 0.2
 )
 
-// distances are what a request to another data centre and to another region costs beside a local one, as time:
-// the round trip, and as much again for the bytes, which are paid for.
-var distances = [3]time.Duration{0, 4 * time.Millisecond, 80 * time.Millisecond}
+// roundTrips are the times that a request to the same data centre, to another one of the region and to another
+// region spends on its way.
+var roundTrips = [3]time.Duration{time.Millisecond, 2 * time.Millisecond, 45 * time.Millisecond}
+
+// transfers are what the bytes of a request between data centres and regions cost, in shares of what its
+// answer is worth to the caller. The links between regions are narrow and all are paid by volume, so that a
+// request stays near while it can be answered in time there.
+var transfers = [3]float64{0, 0.2, 0.35}
+
+const (
+	// lateLoss is what an answer after its goal loses, in shares of its worth.
+	lateLoss = 0.7
+	// lateSpread is the uncertainty of an expected time to an answer as a share of the time to the goal.
+	lateSpread = 0.15
+	// lateMargin is the expected time, as a share of the time to the goal, at which half of the answers come
+	// late: durations of work have long tails.
+	lateMargin = 0.7
+	// haste is what an answer at the goal is worth less than one at once. It decides between servers that are
+	// equal otherwise; time at one server is also a slot held at the one that called.
+	haste = 0.1
+)
 
 // standing is what is known of one server.
 type standing struct {
@@ -93,21 +109,20 @@
 	return &Board{place: place, now: now, random: random, servers: map[ident.Addr]*standing{}}
 }
 
-// Pick chooses among the candidates and counts an attempt there, which End ends. It reports false if
-// there is no candidate that is not paused.
-func (b *Board) Pick(list []Candidate) (Candidate, bool) {
+// Pick chooses among the candidates and counts an attempt there, which End ends. left is the time to the
+// goal of the request. It reports false if there is no candidate that is not paused.
+func (b *Board) Pick(list []Candidate, left time.Duration) (Candidate, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
-	best, lowest := -1, time.Duration(0)
+	best, lowest := -1, 0.0
 	for i := range list {
 		s := b.at(list[i].Addr)
 		if now.Before(s.until) {
 			continue
 		}
 		// Daemons that see the same reports would all choose the same server.
-		v := b.score(s, &list[i], now)
-		v += time.Duration(b.random() * 0.1 * float64(s.mean()))
+		v := b.loss(s, &list[i], left, now) + 0.02*b.random()
 		if best < 0 || v < lowest {
 			best, lowest = i, v
 		}
@@ -119,8 +134,17 @@
 	return list[best], true
 }
 
-// score is the expected time to an answer, with distance and failures as time.
-func (b *Board) score(s *standing, c *Candidate, now time.Time) time.Duration {
+// loss is what a request is expected to lose at a server, in shares of its worth.
+func (b *Board) loss(s *standing, c *Candidate, left time.Duration, now time.Time) float64 {
+	d := b.place.Distance(c.Place)
+	took := (s.expect(c, now) + roundTrips[d]).Seconds()
+	goal := max(left.Seconds(), 0.02)
+	late := 1 / (1 + math.Exp(-(took/goal-lateMargin)/lateSpread))
+	return lateLoss*late + haste*min(2, took/goal) + transfers[d] + s.rate(now)
+}
+
+// expect returns the expected time that a request spends at a server.
+func (s *standing) expect(c *Candidate, now time.Time) time.Duration {
 	mean := s.mean()
 	switch {
 	case s.known && s.report.Slowness > 0 && now.Sub(s.reported) < slownessAge:
@@ -128,14 +152,13 @@
 	case c.Cold && !s.known:
 		mean *= coldFactor
 	}
-	slots := max(1, c.Slots)
+	slots := float64(max(1, c.Slots))
 	running := float64(s.mine) + s.decayed(now)
-	v := time.Duration((1 + crowding*min(1, running/float64(slots))) * float64(mean))
-	if over := running + 1 - float64(slots); over > 0 {
-		v += time.Duration(over / float64(slots) * float64(mean))
+	v := (1 + crowding*min(1, running/slots)) * float64(mean)
+	if over := running + 1 - slots; over > 0 {
+		v += over / slots * float64(mean)
 	}
-	v += distances[b.place.Distance(c.Place)]
-	return v + time.Duration(s.rate(now)*float64(failureCost))
+	return time.Duration(v)
 }
 
 func (s *standing) mean() time.Duration {
