--- a/admit/slots.go
+++ b/admit/slots.go
@@ -178,22 +178,28 @@
 // last is the latest time at which the request can start and still end before its deadline.
 func (w *slotWaiter) last() time.Time { return w.ask.Deadline.Add(-w.cost) }
 
-// await waits for a slot, until the caller leaves or the request can no longer end in time: its caller learns
-// at once that it has not run.
+// await waits for a slot, until the caller leaves, its patience is over or the request can no longer end in
+// time: its caller learns at once that it has not run.
 func (s *Slots) await(ctx context.Context, w *slotWaiter) error {
-	t := time.NewTimer(w.last().Sub(s.now()))
+	t := time.NewTimer(min(w.ask.Patience, w.last().Sub(s.now())))
 	defer t.Stop()
-	var refusal error
+	left := false
 	select {
 	case err := <-w.result:
 		return err
 	case <-t.C:
-		refusal = refuse.NotRun(refuse.DeadlineTooShort, "the request can no longer end before its deadline")
 	case <-ctx.Done():
-		refusal = ended(ctx.Err())
+		left = true
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	var refusal error = &Busy{
+		Refusal: refuse.NotRun(refuse.QueueFull, fmt.Sprintf("waited %s, %d waiting", w.ask.Patience, len(s.queue))),
+		Wait:    s.drained(),
+	}
+	if left {
+		refusal = ended(ctx.Err())
+	}
 	if !s.remove(w) {
 		if err := <-w.result; err == nil {
 			s.running--
