platform: Refuse what would outlast a stopping process

Ruled out: a wait too long for quiet; callers stay while less than half of the data centre's daemons are in.

--- a/mesh/storeloop.go
+++ b/mesh/storeloop.go
@@ -174,6 +174,9 @@
 
 // lapsed notes that the store does not hold the own entry.
 func (n *Node) lapsed() {
+	if n.stopping.Load() {
+		return
+	}
 	n.mu.Lock()
 	n.entry.revision, n.entry.written = 0, -1
 	n.mu.Unlock()
@@ -275,7 +278,7 @@
 }
 
 // leaveTimeout bounds the removal of the own entry at a stop. It ends with its lease otherwise.
-const leaveTimeout = 300 * time.Millisecond
+const leaveTimeout = 150 * time.Millisecond
 
 // leaveStore ends the lease, and with it the own entry.
 func (n *Node) leaveStore() {
