mesh, link, origin, admit, route, retry, table: Test the path of open services

Each test names the failure it guards against; the rig runs daemons and backend servers on loopback with the emulated store, which now follows prefixes. Also: a daemon that hears of a later configuration asks the store before it asks another daemon.

--- /dev/null
+++ b/admit/slots_test.go
@@ -0,0 +1,169 @@
+package admit
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/marjoramcroft/marjoramcroft/ident"
+	"github.com/marjoramcroft/marjoramcroft/refuse"
+)
+
+const ms = time.Millisecond
+
+func ask(route ident.RouteID, priority int, goal, deadline, patience time.Duration) Ask {
+	now := time.Now()
+	return Ask{Route: route, Priority: priority, Goal: now.Add(goal), Deadline: now.Add(deadline), Patience: patience}
+}
+
+// TestSlotsOrder guards against requests that overtake a more urgent one.
+func TestSlotsOrder(t *testing.T) {
+	tests := map[string]struct {
+		asks []Ask
+		want []ident.RouteID
+	}{
+		"higher priority first": {
+			[]Ask{{Route: "low", Priority: 2}, {Route: "high", Priority: 1}}, []ident.RouteID{"high", "low"},
+		},
+		"earlier goal first": {
+			[]Ask{{Route: "slow", Goal: at(800)}, {Route: "fast", Goal: at(300)}}, []ident.RouteID{"fast", "slow"},
+		},
+		"late ones do not make others late": {
+			[]Ask{{Route: "late", Goal: at(10)}, {Route: "on time", Goal: at(500)}}, []ident.RouteID{"on time", "late"},
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := NewSlots(nil)
+				s.Open(1)
+				hold, err := s.Enter(t.Context(), ask("first", 0, time.Second, time.Minute, 0))
+				is.NoErr(err)
+				order := make(chan ident.RouteID, len(tt.asks))
+				for _, a := range tt.asks {
+					full := ask(a.Route, a.Priority, time.Second, time.Minute, time.Minute)
+					if !a.Goal.IsZero() {
+						full.Goal = time.Now().Add(a.Goal.Sub(at(0)))
+					}
+					go func() {
+						release, err := s.Enter(t.Context(), full)
+						if err == nil {
+							order <- full.Route
+							release(0)
+						}
+					}()
+					synctest.Wait()
+				}
+				hold(0)
+				synctest.Wait()
+				for _, w := range tt.want {
+					is.Equal(<-order, w)
+				}
+			})
+		})
+	}
+}
+
+func at(n int) time.Time { return time.Unix(1, 0).Add(time.Duration(n) * ms) }
+
+// TestSlotsRefuseAtOnce guards against requests that wait although they cannot be served in time.
+func TestSlotsRefuseAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := NewSlots(nil)
+		s.Open(2)
+		for range 10 { // learns a service time of 100 ms
+			release, err := s.Enter(t.Context(), ask("r", 0, time.Second, time.Second, 0))
+			is.NoErr(err)
+			release(100 * ms)
+		}
+		for range 2 {
+			_, err := s.Enter(t.Context(), ask("r", 0, time.Second, time.Second, 0))
+			is.NoErr(err)
+		}
+		began := time.Now()
+		_, err := s.Enter(t.Context(), ask("r", 0, 300*ms, time.Second, 20*ms))
+		var busy *Busy
+		is.True(errors.As(err, &busy))
+		is.Equal(busy.Ran, refuse.RanNo)
+		is.True(busy.Wait > 0)
+		_, err = s.Enter(t.Context(), ask("r", 0, 300*ms, 90*ms, time.Second)) // cannot end in time
+		is.True(errors.As(err, &busy))
+		is.Equal(time.Since(began), time.Duration(0))
+	})
+}
+
+// TestSlotsPatience guards against requests that are held until their deadline behind newer ones.
+func TestSlotsPatience(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := NewSlots(nil)
+		s.Open(1)
+		_, err := s.Enter(t.Context(), ask("r", 0, time.Second, time.Minute, 0))
+		is.NoErr(err)
+		began := time.Now()
+		_, err = s.Enter(t.Context(), ask("r", 0, time.Second, time.Minute, 200*ms))
+		var busy *Busy
+		is.True(errors.As(err, &busy))
+		is.Equal(time.Since(began), 200*ms)
+		is.Equal(s.Level().Waiting, 0)
+	})
+}
+
+// TestSlotsLoseNone guards against slots that are lost, or given twice, when callers leave as they get one.
+func TestSlotsLoseNone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := NewSlots(nil)
+		s.Open(3)
+		for i := range 400 {
+			go func() {
+				ctx, cancel := context.WithTimeout(t.Context(), time.Duration(i%37)*ms)
+				defer cancel()
+				release, err := s.Enter(ctx, ask("r", i%3, 100*ms, time.Second, time.Duration(i%90)*ms))
+				if err != nil {
+					return
+				}
+				if n := s.Level().Running; n > 3 {
+					t.Errorf("%d run in 3 slots", n)
+				}
+				time.Sleep(time.Duration(i%11) * ms)
+				release(time.Duration(i%11) * ms)
+			}()
+			time.Sleep(time.Duration(i%3) * ms)
+		}
+		synctest.Wait()
+		time.Sleep(2 * time.Second)
+		is.Equal(s.Level().Running, 0)
+		is.Equal(s.Level().Waiting, 0)
+	})
+}
+
+// TestSlotsClose guards against requests that run at a backend server that is leaving.
+func TestSlotsClose(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := NewSlots(nil)
+		_, err := s.Enter(t.Context(), ask("r", 0, time.Second, time.Minute, time.Minute))
+		is.Equal(refuse.From(err).Reason, refuse.Starting)
+		s.Open(1)
+		hold, err := s.Enter(t.Context(), ask("r", 0, time.Second, time.Minute, 0))
+		is.NoErr(err)
+		waits := make(chan error, 1)
+		go func() {
+			_, err := s.Enter(t.Context(), ask("r", 0, time.Second, time.Minute, time.Minute))
+			waits <- err
+		}()
+		synctest.Wait()
+		s.Close(refuse.NotRun(refuse.Draining, "leaving"))
+		is.Equal(refuse.From(<-waits).Reason, refuse.Draining)
+		hold(0)
+		_, err = s.Enter(t.Context(), ask("r", 0, time.Second, time.Minute, time.Minute))
+		is.Equal(refuse.From(err).Reason, refuse.Draining)
+	})
+}
--- a/emul/store.go
+++ b/emul/store.go
@@ -124,9 +124,11 @@
 	if s.onChange != nil {
 		s.onChange(value(c.key, c.visible()))
 	}
-	if ch, ok := s.waiters[c.key]; ok {
-		close(ch)
-		delete(s.waiters, c.key)
+	for _, key := range []string{c.key, anyKey} {
+		if ch, ok := s.waiters[key]; ok {
+			close(ch)
+			delete(s.waiters, key)
+		}
 	}
 }
 
--- a/emul/storedriver.go
+++ b/emul/storedriver.go
@@ -21,7 +21,7 @@
 func (s *Store) Driver() store.Driver {
 	return store.Driver{
 		Get: s.get, List: s.list, Swap: s.swap, Delete: s.deleteKey,
-		Grant: s.grantLease, Renew: s.renewLease, Revoke: s.revokeLease, Watch: s.watch,
+		Grant: s.grantLease, Renew: s.renewLease, Revoke: s.revokeLease, Watch: s.watch, Snapshot: s.snapshot, Follow: s.follow,
 	}
 }
 
--- a/event/catalogue_test.go
+++ b/event/catalogue_test.go
@@ -42,7 +42,7 @@
 func TestGroupsDoNotShareNumbers(t *testing.T) {
 	is := is.New(t)
 	n := 0
-	for _, g := range []map[ID]Def{daemonEvents, storeEvents, fanoutEvents, peersEvents, quotaEvents, callsEvents, dedupEvents} {
+	for _, g := range []map[ID]Def{daemonEvents, storeEvents, fanoutEvents, peersEvents, quotaEvents, callsEvents, dedupEvents, meshEvents} {
 		n += len(g)
 	}
 	is.Equal(len(IDs()), n)
--- /dev/null
+++ b/link/conn_test.go
@@ -0,0 +1,191 @@
+package link
+
+import (
+	"context"
+	"errors"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// pair returns two connected Conns over TCP; the second one handles calls with h.
+func pair(t *testing.T, h Handlers) (*Conn, *Conn) {
+	t.Helper()
+	a, b := sockets(t)
+	ca, cb := New(a, Handlers{}), New(b, h)
+	go func() { _ = ca.Serve() }()
+	go func() { _ = cb.Serve() }()
+	t.Cleanup(func() { ca.Close(); cb.Close() })
+	return ca, cb
+}
+
+func sockets(t *testing.T) (net.Conn, net.Conn) {
+	t.Helper()
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer ln.Close()
+	a, err := net.Dial("tcp", ln.Addr().String())
+	is.NoErr(err)
+	b, err := ln.Accept()
+	is.NoErr(err)
+	return a, b
+}
+
+// TestCallsAreAnsweredInAnyOrder guards against answers that reach another call.
+func TestCallsAreAnsweredInAnyOrder(t *testing.T) {
+	is := is.New(t)
+	slow := make(chan struct{})
+	c, _ := pair(t, Handlers{Call: func(_ context.Context, _ *Conn, body []byte) []byte {
+		if string(body) == "slow" {
+			<-slow
+		}
+		return []byte("answer to " + string(body))
+	}})
+	first := make(chan string, 1)
+	go func() {
+		b, err := c.Call(t.Context(), []byte("slow"), false)
+		if err != nil {
+			b = []byte(err.Error())
+		}
+		first <- string(b)
+	}()
+	b, err := c.Call(t.Context(), []byte("fast"), false)
+	is.NoErr(err)
+	is.Equal(string(b), "answer to fast")
+	close(slow)
+	is.Equal(<-first, "answer to slow")
+}
+
+// TestCancelReachesTheHandler guards against work that goes on after its caller has left, and against
+// a call whose fate the other side knows but that ends as unknown.
+func TestCancelReachesTheHandler(t *testing.T) {
+	is := is.New(t)
+	c, _ := pair(t, Handlers{Call: func(ctx context.Context, _ *Conn, _ []byte) []byte {
+		<-ctx.Done()
+		return []byte("did not run")
+	}})
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Millisecond)
+	defer cancel()
+	b, err := c.Call(ctx, []byte("x"), false)
+	is.NoErr(err)
+	is.Equal(string(b), "did not run")
+}
+
+// TestErrors guards against a call that is taken for not sent although it may have arrived.
+func TestErrors(t *testing.T) {
+	tests := map[string]struct {
+		want error
+		end  func(caller, other *Conn)
+	}{
+		"other side ends after it got the call": {ErrLost, func(_, o *Conn) { o.Close() }},
+		"own side ends after the call was sent": {ErrLost, func(c, _ *Conn) { c.Close() }},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			got := make(chan struct{})
+			c, o := pair(t, Handlers{Call: func(ctx context.Context, _ *Conn, _ []byte) []byte {
+				close(got)
+				<-ctx.Done()
+				return nil
+			}})
+			go func() { <-got; tt.end(c, o) }()
+			_, err := c.Call(t.Context(), []byte("x"), true)
+			is.True(errors.Is(err, tt.want))
+		})
+	}
+	t.Run("closed before", func(t *testing.T) {
+		is := is.New(t)
+		c, _ := pair(t, Handlers{})
+		c.Close()
+		_, err := c.Call(t.Context(), []byte("x"), true)
+		is.True(errors.Is(err, ErrNotSent))
+	})
+}
+
+// TestSilence guards against calls that wait for a daemon that is gone without closing its connections, and
+// against a long call that is given up although its daemon lives.
+func TestSilence(t *testing.T) {
+	t.Run("dead", func(t *testing.T) {
+		is := is.New(t)
+		a, _ := sockets(t) // nobody reads the other side
+		c := New(a, Handlers{})
+		go func() { _ = c.Serve() }()
+		defer c.Close()
+		patient := make(chan error, 1)
+		ctx, cancel := context.WithTimeout(t.Context(), deadAfter+600*time.Millisecond)
+		defer cancel()
+		go func() {
+			_, err := c.Call(ctx, []byte("x"), true)
+			patient <- err
+		}()
+		began := time.Now()
+		_, err := c.Call(t.Context(), []byte("x"), false)
+		is.True(errors.Is(err, ErrLost))
+		is.True(time.Since(began) >= deadAfter)
+		is.True(time.Since(began) < deadAfter+2*watchEvery)
+		is.True(c.Silent())
+		is.True(errors.Is(<-patient, ErrLost))
+		is.True(ctx.Err() != nil) // it waited until its own end
+	})
+	t.Run("alive", func(t *testing.T) {
+		is := is.New(t)
+		c, _ := pair(t, Handlers{Call: func(context.Context, *Conn, []byte) []byte {
+			time.Sleep(deadAfter + 500*time.Millisecond)
+			return []byte("late but there")
+		}})
+		b, err := c.Call(t.Context(), []byte("x"), false)
+		is.NoErr(err)
+		is.Equal(string(b), "late but there")
+		is.True(!c.Silent())
+	})
+}
+
+// TestNoticesKeepTheirOrder guards against an earlier state that overwrites a later one.
+func TestNoticesKeepTheirOrder(t *testing.T) {
+	is := is.New(t)
+	var seen []string
+	done := make(chan struct{})
+	c, _ := pair(t, Handlers{Notice: func(_ *Conn, b []byte) {
+		if seen = append(seen, string(b)); len(seen) == 3 {
+			close(done)
+		}
+	}})
+	for _, s := range []string{"1", "2", "3"} {
+		c.Notify([]byte(s))
+	}
+	<-done
+	is.Equal(strings.Join(seen, ""), "123")
+}
+
+// TestBlockedWriterBlocksNoCaller guards against callers that hang on a daemon that does not read.
+func TestBlockedWriterBlocksNoCaller(t *testing.T) {
+	is := is.New(t)
+	a, _ := sockets(t)
+	c := New(a, Handlers{})
+	go func() { _ = c.Serve() }()
+	defer c.Close()
+	var ended atomic.Int32
+	done := make(chan struct{})
+	for range 20 {
+		go func() {
+			ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+			defer cancel()
+			_, _ = c.Call(ctx, make([]byte, 1<<20), true)
+			if ended.Add(1) == 20 {
+				close(done)
+			}
+		}()
+	}
+	select {
+	case <-done:
+	case <-time.After(2 * time.Second):
+		t.Errorf("only %d of 20 callers returned", ended.Load())
+	}
+	is.True(c.Waiting() == 0)
+}
--- a/mesh/gossip.go
+++ b/mesh/gossip.go
@@ -81,8 +81,9 @@
 	}
 }
 
-// askAfter is how long a daemon waits for the store to tell a configuration that another daemon has.
-const askAfter = 300 * time.Millisecond
+// askAfter is how long a daemon waits for the store to tell a configuration that another daemon has. A
+// configuration is large; as long as the store tells it there is no need to send it twice.
+const askAfter = time.Second
 
 // askLater asks for a configuration unless it has come meanwhile.
 func (n *Node) askLater(c *link.Conn, v ident.Version) {
@@ -93,32 +94,30 @@
 	})
 }
 
-// noticeVersion notes that another daemon has a later configuration. A daemon that is cut off from
-// the store asks for it.
+// noticeVersion notes that another daemon has a later configuration. The store is asked at once; a daemon
+// that is cut off from it asks another daemon.
 func (n *Node) noticeVersion(v ident.Version) {
 	if v <= n.Version() || !n.asking.CompareAndSwap(false, true) {
 		return
 	}
+	select {
+	case n.hurry <- struct{}{}:
+	default:
+	}
 	time.AfterFunc(askAfter, func() {
-		defer n.asking.Store(false)
+		n.asking.Store(false)
 		if n.Version() >= v {
 			return
 		}
 		n.mu.Lock()
 		defer n.mu.Unlock()
-		asked := 0
-		for c := range n.conns {
+		for c := range n.conns { // one of them, by the random order of a map
 			n.notify(c, &notice{Version: n.Version(), Want: true})
-			if asked++; asked == askedPeers {
-				break
-			}
+			return
 		}
 	})
 }
 
-// askedPeers is how many daemons are asked for a configuration at once: one of them may be behind too.
-const askedPeers = 3
-
 // publish tells other daemons, over open links and through the store, what has changed here.
 func (n *Node) publish() {
 	n.mu.Lock()
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -61,6 +61,7 @@
 	asking   atomic.Bool   // another daemon is about to be asked for a configuration
 	probing  atomic.Bool   // the backend server accepts no connection and is tried
 	changed  chan struct{} // the own entry in the store is out of date
+	hurry    chan struct{} // another daemon has a later configuration
 	ctx      context.Context
 	stop     context.CancelFunc
 	wg       sync.WaitGroup
@@ -83,7 +84,7 @@
 		board: route.NewBoard(d.Place, d.Now, d.Random), slots: admit.NewSlots(d.Now),
 		usual: usual{routes: map[ident.RouteID]time.Duration{}},
 		links: links{open: map[ident.Addr]*opening{}},
-		conns: map[*link.Conn]struct{}{}, changed: make(chan struct{}, 1),
+		conns: map[*link.Conn]struct{}{}, changed: make(chan struct{}, 1), hurry: make(chan struct{}, 1),
 	}
 	n.retries = retry.NewShared(d.Config.Retries, n.roster.daemons, d.Now)
 	n.ctx, n.stop = context.WithCancel(context.Background())
--- /dev/null
+++ b/mesh/rig_test.go
@@ -0,0 +1,226 @@
+package mesh
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/marjoramcroft/marjoramcroft/emul"
+	"github.com/marjoramcroft/marjoramcroft/event"
+	"github.com/marjoramcroft/marjoramcroft/ident"
+	"github.com/marjoramcroft/marjoramcroft/origin"
+	"github.com/marjoramcroft/marjoramcroft/retry"
+	"github.com/marjoramcroft/marjoramcroft/stats"
+	"github.com/marjoramcroft/marjoramcroft/store"
+	"github.com/marjoramcroft/marjoramcroft/table"
+)
+
+var rigNames = origin.Names{
+	Request: "X-Id", Deadline: "X-Deadline", Instance: "X-Instance", Caller: "X-Caller", Answerer: "X-Answerer",
+	Stamp: "X-Stamp", NotRun: "X-Not-Run", Load: "X-Load",
+}
+
+var rigKeys = Keys{Config: "c/config", Peers: "c/peer/", Both: "c/"}
+
+// rig is a store and daemons on loopback, each with a backend server.
+type rig struct {
+	t     *testing.T
+	store *emul.Store
+	nodes []*rigNode
+}
+
+// rigNode is one daemon of a rig.
+type rigNode struct {
+	*Node
+	ln      net.Listener
+	backend *rigBackend
+	addr    string
+	place   ident.Place
+	service ident.ServiceID
+	seq     int64
+	behind  time.Duration // of the daemon's clock
+}
+
+func newRig(t *testing.T) *rig {
+	return &rig{t: t, store: emul.NewStore(emul.DefaultStoreConfig())}
+}
+
+// add starts a daemon at place beside a backend server of service.
+func (r *rig) add(place ident.Place, service ident.ServiceID) *rigNode {
+	r.t.Helper()
+	n := &rigNode{backend: newRigBackend(r.t), addr: "127.0.0.1:0", place: place, service: service}
+	r.start(n)
+	r.nodes = append(r.nodes, n)
+	return n
+}
+
+// start starts the process of n, again if it has run before: at the same address, without memory.
+func (r *rig) start(n *rigNode) {
+	r.t.Helper()
+	is := is.New(r.t)
+	var err error
+	for range 100 {
+		if n.ln, err = net.Listen("tcp", n.addr); err == nil {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	is.NoErr(err)
+	n.addr = n.ln.Addr().String()
+	set := stats.New()
+	sc := store.DefaultConfig()
+	sc.Budget, sc.Budgets = store.Budget{Reads: 1000, ReadBurst: 1000, Writes: 1000, WriteBurst: 1000}, nil
+	sc.Attempts, sc.Timeout, sc.OpenFor = 1, 300*time.Millisecond, 50*time.Millisecond
+	cfg := DefaultConfig()
+	cfg.Retries = retry.SharedLimits{Ratio: 1, Slack: 100, Window: time.Second}
+	n.Node = New(Deps{
+		Self: ident.Addr(n.addr), Place: n.place, Caller: func() ident.ServiceID { return n.service }, Config: cfg,
+		Names: rigNames, Keys: rigKeys, Decode: decodeSpec, Dial: (&net.Dialer{}).DialContext, Log: event.Discard(),
+		Stats: set, Random: rand.Float64,
+		Now:   func() time.Time { return time.Now().Add(-n.behind) },
+		Store: store.New(store.Deps{Driver: r.store.Driver(), Config: sc, Stats: set, Log: event.Discard(), Rand: rand.Float64}),
+	})
+	node, ln := n.Node, n.ln
+	go func() { _ = node.ServeLinks(ln) }()
+	node.Start()
+	r.t.Cleanup(n.kill)
+}
+
+// kill ends the process of n as a signal does that cannot be caught.
+func (n *rigNode) kill() {
+	_ = n.ln.Close()
+	n.stop()
+	n.Node.mu.Lock()
+	for c := range n.conns {
+		c.Close()
+	}
+	n.Node.mu.Unlock()
+	n.wg.Wait()
+}
+
+func decodeSpec(b []byte) (table.Spec, error) {
+	var s table.Spec
+	return s, json.Unmarshal(b, &s)
+}
+
+// configure writes a configuration with one route for each service.
+func (r *rig) configure(v ident.Version, services ...ident.ServiceID) {
+	r.t.Helper()
+	is := is.New(r.t)
+	s := table.Spec{Version: v}
+	for _, id := range services {
+		s.Services = append(s.Services, table.Service{ID: id})
+		for kind, safe := range map[string]bool{"get": true, "buy": false} {
+			s.Routes = append(s.Routes, table.Route{
+				ID: ident.RouteID(string(id) + "-" + kind), Host: "h", Prefix: fmt.Sprintf("/%s/%s/", id, kind), Idempotent: safe,
+				Parts: []table.Part{{Service: id, Weight: 1}}, Timeout: 2 * time.Second, Goal: 500 * time.Millisecond, Attempts: 2,
+			})
+		}
+	}
+	b, err := json.Marshal(s)
+	is.NoErr(err)
+	d := r.store.Driver()
+	cur, err := d.Get(r.t.Context(), rigKeys.Config)
+	is.NoErr(err)
+	_, err = d.Swap(r.t.Context(), rigKeys.Config, cur.Revision, b, 0)
+	is.NoErr(err)
+}
+
+// beat sends a heartbeat of the backend server beside n.
+func (n *rigNode) beat(s State) {
+	n.seq++
+	// The rig's heartbeats are complete.
+	_ = n.Heard(Heartbeat{
+		ID: n.backend.id, Service: n.service, Addr: n.backend.addr, Slots: 4, State: s, Seq: n.seq, Born: 1,
+	})
+}
+
+// call sends a call through n.
+func (n *rigNode) call(ctx context.Context, path string) *Answer {
+	now := n.d.Now()
+	return n.Serve(ctx, &Call{
+		ID: fmt.Sprint(rand.Uint64()), Method: "GET", URI: path, Path: path, Host: "h", Header: http.Header{},
+		Arrived: now, Deadline: now.Add(1500 * time.Millisecond),
+	})
+}
+
+// eventually waits until f holds.
+func eventually(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	for end := time.Now().Add(8 * time.Second); !f(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not within 8 s: %s", what)
+		}
+	}
+}
+
+// sees waits until n knows count servers of service.
+func (n *rigNode) sees(t *testing.T, service ident.ServiceID, count int) {
+	t.Helper()
+	eventually(t, fmt.Sprintf("%d servers of %s", count, service), func() bool {
+		list, _ := n.roster.candidates(service, nil, time.Now())
+		return len(list) == count
+	})
+}
+
+// rigBackend is a backend server. do answers a request; nil answers 200.
+type rigBackend struct {
+	id     string
+	addr   string
+	server *http.Server
+	runs   sync.Map // request id: *atomic.Int32
+	total  atomic.Int32
+	mu     sync.Mutex
+	do     func(w http.ResponseWriter, r *http.Request)
+}
+
+func newRigBackend(t *testing.T) *rigBackend {
+	t.Helper()
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	b := &rigBackend{id: fmt.Sprintf("i-%x", rand.Uint32()), addr: ln.Addr().String()}
+	b.server = &http.Server{Handler: b, ReadHeaderTimeout: time.Second}
+	go func() { _ = b.server.Serve(ln) }()
+	t.Cleanup(func() { _ = b.server.Close() })
+	return b
+}
+
+func (b *rigBackend) set(do func(w http.ResponseWriter, r *http.Request)) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.do = do
+}
+
+// ServeHTTP runs one request.
+func (b *rigBackend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("X-Id")
+	if want := r.Header.Get("X-Instance"); want != b.id {
+		w.Header().Set("X-Answerer", b.id)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	n, _ := b.runs.LoadOrStore(id, new(atomic.Int32))
+	n.(*atomic.Int32).Add(1)
+	b.total.Add(1)
+	w.Header().Set("X-Id", id)
+	w.Header().Set("X-Stamp", b.id)
+	b.mu.Lock()
+	do := b.do
+	b.mu.Unlock()
+	if do != nil {
+		do(w, r)
+		return
+	}
+	_, _ = io.WriteString(w, "ok "+b.id)
+}
--- a/mesh/storeloop.go
+++ b/mesh/storeloop.go
@@ -110,11 +110,26 @@
 		}
 	}
 	if len(changes) > 0 {
-		delay.Sleep(n.ctx, gatherPause)
+		n.gather()
 	}
 	return max(after, next), nil
 }
 
+// gather waits for changes that follow closely, unless another daemon has a later configuration.
+func (n *Node) gather() {
+	select { // an older hint is of no use
+	case <-n.hurry:
+	default:
+	}
+	t := time.NewTimer(gatherPause)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-n.hurry:
+	case <-n.ctx.Done():
+	}
+}
+
 // peerOf returns the daemon whose entry key is.
 func (n *Node) peerOf(key string) (ident.Addr, bool) {
 	a, ok := strings.CutPrefix(key, n.d.Keys.Peers)
