--- a/fanout/fuzz_test.go
+++ b/fanout/fuzz_test.go
@@ -2,9 +2,10 @@
 
 import (
 	"errors"
-	"github.com/marjoramcroft/marjoramcroft/wire"
 	"testing"
 
+	"github.com/marjoramcroft/marjoramcroft/wire"
+
 	"github.com/marjoramcroft/marjoramcroft/agree"
 )
 
--- a/mesh/gossip.go
+++ b/mesh/gossip.go
@@ -106,15 +106,6 @@
 // configuration is large; as long as the store tells it there is no need to send it twice.
 const askAfter = time.Second
 
-// askLater asks for a configuration unless it has come meanwhile.
-func (n *Node) askLater(c *link.Conn, v ident.Version) {
-	time.AfterFunc(askAfter, func() {
-		if n.Version() < v {
-			n.notify(c, &notice{Version: n.Version(), Want: true})
-		}
-	})
-}
-
 // noticeVersion notes that another daemon has a later configuration. The store is asked at once; a daemon
 // that is cut off from it asks another daemon.
 func (n *Node) noticeVersion(v ident.Version) {
--- a/mesh/rig_test.go
+++ b/mesh/rig_test.go
@@ -100,11 +100,11 @@
 func (n *rigNode) kill() {
 	_ = n.ln.Close()
 	n.stop()
-	n.Node.mu.Lock()
+	n.mu.Lock()
 	for c := range n.conns {
 		c.Close()
 	}
-	n.Node.mu.Unlock()
+	n.mu.Unlock()
 	n.wg.Wait()
 }
 
