--- a/mesh/readers.go
+++ b/mesh/readers.go
@@ -21,7 +21,7 @@
 	// than half of the shortest time in which a configuration has to be in force (2.5 s).
 	vouchFor = 1200 * time.Millisecond
 	// subscribeEvery is the period in which a daemon looks for the readers that it follows.
-	subscribeEvery = 250 * time.Millisecond
+	subscribeEvery = 100 * time.Millisecond
 )
 
 // readers is what a daemon knows of the readers of its data centre, and of those that follow it.
--- a/mesh/storeloop.go
+++ b/mesh/storeloop.go
@@ -33,6 +33,7 @@
 // follow keeps configuration and roster in line with the store: by reading it, or by following the readers of
 // the data centre as long as they vouch for what they know.
 func (n *Node) follow() {
+	n.begin()
 	failures, after := 0, int64(0)
 	for n.ctx.Err() == nil {
 		if n.awaitReaders() {
@@ -61,6 +62,35 @@
 	}
 }
 
+// startWait is how long a daemon that starts waits for the configuration from a reader, before it reads
+// the store itself.
+const startWait = time.Second
+
+// begin learns the daemons of the data centre first. When all daemons start at once, each reading the
+// configuration would fill the links between the regions for seconds.
+func (n *Node) begin() {
+	values, _, err := n.d.Store.Snapshot(n.ctx, n.d.Keys.Peers)
+	if err != nil {
+		return // the first read says so
+	}
+	for _, v := range values {
+		n.takeValue(v)
+	}
+	t := time.NewTimer(startWait)
+	defer t.Stop()
+	look := time.NewTicker(startWait / 50)
+	defer look.Stop()
+	for n.isFollower() && n.readers.vouchedFor() <= 0 {
+		select {
+		case <-look.C:
+		case <-t.C:
+			return
+		case <-n.ctx.Done():
+			return
+		}
+	}
+}
+
 // awaitReaders waits while a reader vouches for what this daemon knows, and reports whether one did.
 func (n *Node) awaitReaders() bool {
 	if !n.isFollower() {
--- a/mesh/visit.go
+++ b/mesh/visit.go
@@ -6,6 +6,7 @@
 
 	"github.com/marjoramcroft/marjoramcroft/ident"
 	"github.com/marjoramcroft/marjoramcroft/refuse"
+	"github.com/marjoramcroft/marjoramcroft/retry"
 	"github.com/marjoramcroft/marjoramcroft/route"
 )
 
@@ -167,7 +168,7 @@
 	case shed:
 		v.sent++
 		v.refusal = refuse.NotRun(r.reply.Reason, r.reply.Detail)
-		return nil, ctx.Err() == nil && v.sent < v.attempts() && v.n.retries.Take(v.service)
+		return nil, ctx.Err() == nil && v.sent < v.attempts() && v.n.retries.Take(v.service, retry.NotRun)
 	default:
 		v.sent++
 		v.maybeRan = true
@@ -191,7 +192,7 @@
 
 // mayRepeat reports whether a call that may have run is sent again, and takes the attempt from the budget.
 func (v *visit) mayRepeat(ctx context.Context) bool {
-	if !v.route.Idempotent || ctx.Err() != nil || v.sent >= v.attempts() || !v.n.retries.Take(v.service) {
+	if !v.route.Idempotent || ctx.Err() != nil || v.sent >= v.attempts() || !v.n.retries.Take(v.service, retry.Failed) {
 		return false
 	}
 	v.n.d.Stats.Retried("Failed")
@@ -207,7 +208,7 @@
 
 // mayHedge reports whether a second attempt may be made beside the one that runs.
 func (v *visit) mayHedge(running int) bool {
-	return v.route.Idempotent && running == 1 && v.sent+running < v.attempts() && v.n.retries.Take(v.service)
+	return v.route.Idempotent && running == 1 && v.sent+running < v.attempts() && v.n.retries.Take(v.service, retry.Hedge)
 }
 
 // outcome returns the answer to a call of which no attempt was answered well.
--- a/retry/shared.go
+++ b/retry/shared.go
@@ -15,9 +15,14 @@
 	Window time.Duration
 }
 
-// safety is the part of the shared limits that daemons use. Requests are not spread evenly over windows,
-// and calls that a repeated request makes count as repeats at services that do not see why.
-const safety = 0.5
+const (
+	// safety is the part of the shared limits that daemons use, since requests are not spread evenly over
+	// windows.
+	safety = 0.5
+	// ranCost is the cost of an attempt after one that may have run. A run makes calls of its own, and those
+	// of a repeated run count as repeats at services that do not see why.
+	ranCost = 2.5
+)
 
 // Shared is a daemon's part of a retry budget that all daemons share without talking about it: the ratio
 // of the requests that it saw itself, and an equal part of the slack. Its methods are safe for
@@ -33,7 +38,8 @@
 
 type sharedService struct {
 	requests []time.Time
-	attempts []time.Time
+	attempts []time.Time // one for each whole of cost
+	rest     float64     // cost that is not in attempts yet
 }
 
 // NewShared returns a Shared without attempts. A nil now is the process's clock.
@@ -53,17 +59,23 @@
 	v.requests = append(v.requests, now)
 }
 
-// Take reports whether one more attempt may be made at service, and counts it.
-func (s *Shared) Take(service ident.ServiceID) bool {
+// Take reports whether one more attempt of kind k may be made at service, and counts it.
+func (s *Shared) Take(service ident.ServiceID, k Kind) bool {
+	cost := ranCost
+	if k == NotRun {
+		cost = 1
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
 	v := s.at(service, now)
 	allowed := safety * (s.limits.Ratio*float64(len(v.requests)) + s.limits.Slack/float64(max(1, s.daemons())))
-	if float64(len(v.attempts)+1) > max(1, allowed) {
+	if float64(len(v.attempts))+v.rest+cost > allowed {
 		return false
 	}
-	v.attempts = append(v.attempts, now)
+	for v.rest += cost; v.rest >= 1; v.rest-- {
+		v.attempts = append(v.attempts, now)
+	}
 	return true
 }
 
--- a/retry/shared_test.go
+++ b/retry/shared_test.go
@@ -33,7 +33,7 @@
 						requests++
 					}
 					for range loads[i] + 20 {
-						if d.Take("s") {
+						if d.Take("s", NotRun) {
 							taken++
 						}
 					}
@@ -50,8 +50,42 @@
 	is := is.New(t)
 	now := time.Unix(1000, 0)
 	s := NewShared(SharedLimits{Slack: 4, Window: 10 * time.Second}, func() int { return 1 }, func() time.Time { return now })
-	for s.Take("s") {
+	for s.Take("s", NotRun) {
 	}
 	now = now.Add(11 * time.Second)
-	is.True(s.Take("s"))
+	is.True(s.Take("s", NotRun))
+}
+
+// TestSharedCountsTheCallsOfRuns guards against repeats of a front service whose calls use up the budget of the
+// service that they call: a service that sheds, called twice by each run of another one.
+func TestSharedCountsTheCallsOfRuns(t *testing.T) {
+	is := is.New(t)
+	limits := SharedLimits{Ratio: 0.2, Slack: 186, Window: 10 * time.Second}
+	now := time.Unix(1000, 0)
+	var daemons []*Shared
+	for range 72 {
+		daemons = append(daemons, NewShared(limits, func() int { return 72 }, func() time.Time { return now }))
+	}
+	calls, repeats := 0, 0
+	for range 10 {
+		for _, d := range daemons {
+			for range 10 {
+				d.Request("front")
+				runs := 1
+				if d.Take("front", Failed) {
+					runs = 2
+					repeats += 2
+				}
+				for range 2 * runs {
+					calls++
+					d.Request("back")
+					if d.Take("back", NotRun) {
+						repeats++
+					}
+				}
+			}
+		}
+		now = now.Add(time.Second - time.Millisecond)
+	}
+	is.True(float64(repeats) <= limits.Ratio*float64(calls)+limits.Slack)
 }
