mesh: Ask servers of the data centre for a free slot first

Cause: with 81 daemons an entry calls each server about once a second, so that what it knows of their load is old, and calls queued at one server while others had free slots (p50 of lesson-view 245 ms for 85 ms of work). A call is first offered, without patience, to up to 3 servers of the data centre; then the reports are fresh. Retry budget: 0.6 of the ratio and 0.4 of the slack, cost 2 after a run (was 0.5, 0.5, 2.5).

--- a/mesh/entry.go
+++ b/mesh/entry.go
@@ -85,10 +85,12 @@
 	limit   time.Time // until when the caller waits
 
 	without  map[ident.Addr]bool // servers that are not asked again
-	waits    time.Duration       // shortest wait that a busy server stated
-	busy     int                 // servers that were busy
-	spare    []ident.Addr        // busy servers, that with the shortest wait first
-	sent     int                 // attempts that reached a backend server
+	offered  map[ident.Addr]bool // servers that were asked for a slot that is free at once
+	offers   int
+	waits    time.Duration // shortest wait that a busy server stated
+	busy     int           // servers that were busy
+	spare    []ident.Addr  // busy servers, that with the shortest wait first
+	sent     int           // attempts that reached a backend server
 	maybeRan bool
 	failure  *Answer // of a backend server, delivered if no attempt does better
 	refusal  *refuse.Refusal
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -86,7 +86,7 @@
 	n := &Node{
 		d: d, life: ident.NewIncarnation(d.Now()), roster: newRoster(),
 		board: route.NewBoard(d.Place, d.Now, d.Random), slots: admit.NewSlots(d.Now),
-		usual: usual{routes: map[ident.RouteID]time.Duration{}},
+		usual: newUsual(),
 		links: links{open: map[ident.Addr]*opening{}},
 		conns: map[*link.Conn]struct{}{}, changed: make(chan struct{}, 1), hurry: make(chan struct{}, 1),
 	}
--- a/mesh/visit.go
+++ b/mesh/visit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/marjoramcroft/marjoramcroft/ident"
@@ -11,6 +12,10 @@
 )
 
 const (
+	// maxOffers bounds the servers of the data centre that are asked first for a slot that is free at once. What a
+	// daemon knows of their load is as old as its last call there, some seconds with many servers, and asking takes
+	// a millisecond.
+	maxOffers = 3
 	// maxBusy bounds the servers that are asked while all are busy: each costs a round trip.
 	maxBusy = 4
 	// lateShare is the part of a caller's remaining time for which a call that misses its goal still
@@ -33,16 +38,17 @@
 	reply  *reply
 	err    error
 	took   time.Duration
+	offer  bool // of a slot that is free at once
 }
 
 // run makes the attempts of a call until one is answered or no more is allowed.
 func (v *visit) run(ctx context.Context) *Answer {
-	v.without = map[ident.Addr]bool{}
+	v.without, v.offered = map[ident.Addr]bool{}, map[ident.Addr]bool{}
 	results := make(chan result, 4+maxBusy)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel() // ends the attempts that were overtaken
 	running := 0
-	if v.start(ctx, results, v.onTime()) {
+	if v.next(ctx, results) {
 		running++
 	}
 	hedge := time.NewTimer(v.hedgeAfter())
@@ -50,7 +56,7 @@
 	for running > 0 {
 		select {
 		case <-hedge.C:
-			if v.mayHedge(running) && v.start(ctx, results, v.onTime()) {
+			if v.mayHedge(running) && v.next(ctx, results) {
 				v.n.d.Stats.Retried("Hedge")
 				running++
 			}
@@ -60,7 +66,7 @@
 			if a != nil {
 				return a
 			}
-			if again && running == 0 && v.start(ctx, results, v.onTime()) {
+			if again && running == 0 && v.next(ctx, results) {
 				running++
 			}
 			if running == 0 && v.wantsWait() && v.start(ctx, results, v.late()) {
@@ -71,6 +77,28 @@
 	return v.outcome(ctx)
 }
 
+// next begins an attempt: while offers are made at a server of the data centre that has a free slot, then at any
+// that can answer in time.
+func (v *visit) next(ctx context.Context, results chan<- result) bool {
+	if v.offers < maxOffers {
+		v.offers++
+		if v.startAt(ctx, results, 0, v.nearby()) {
+			return true
+		}
+		v.offers = maxOffers
+		clear(v.offered)
+	}
+	return v.start(ctx, results, v.onTime())
+}
+
+// nearby returns the servers of the data centre that have not been asked.
+func (v *visit) nearby() []route.Candidate {
+	list, _ := v.n.roster.candidates(v.service, v.without, v.n.d.Now())
+	return slices.DeleteFunc(list, func(c route.Candidate) bool {
+		return c.Place != v.n.d.Place || v.offered[c.Addr]
+	})
+}
+
 // onTime is the longest wait with which the call still reaches its goal.
 func (v *visit) onTime() time.Duration { return max(0, v.goal.Sub(v.n.d.Now())) }
 
@@ -93,18 +121,30 @@
 
 // start begins an attempt at the best server and reports whether there is one.
 func (v *visit) start(ctx context.Context, results chan<- result, patience time.Duration) bool {
+	list, known := v.n.roster.candidates(v.service, v.without, v.n.d.Now())
+	switch {
+	case v.startAt(ctx, results, patience, list):
+		return true
+	case known == 0:
+		v.refusal = refuse.NotRun(refuse.NoServer, "no ready backend server of "+string(v.service)+" is known")
+	case v.refusal == nil:
+		v.refusal = refuse.NotRun(refuse.NoServer, "no backend server of "+string(v.service)+" can be reached")
+	}
+	return false
+}
+
+// startAt begins an attempt at the best of the candidates and reports whether there is one.
+func (v *visit) startAt(ctx context.Context, results chan<- result, patience time.Duration, list []route.Candidate) bool {
 	now := v.n.d.Now()
-	list, known := v.n.roster.candidates(v.service, v.without, now)
-	c, ok := v.n.board.Pick(list, v.goal.Sub(now))
+	c, ok := v.n.board.Pick(list, v.goal.Sub(now), v.n.usual.weight(v.route.ID, v.service))
 	if !ok {
-		if known == 0 {
-			v.refusal = refuse.NotRun(refuse.NoServer, "no ready backend server of "+string(v.service)+" is known")
-		} else if v.refusal == nil {
-			v.refusal = refuse.NotRun(refuse.NoServer, "no backend server of "+string(v.service)+" can be reached")
-		}
 		return false
 	}
-	v.without[c.Addr] = true
+	if patience == 0 {
+		v.offered[c.Addr] = true
+	} else {
+		v.without[c.Addr] = true
+	}
 	req := &request{
 		ID: v.c.ID, Service: v.service, Route: v.route.ID, Caller: v.n.d.Caller(), Method: v.c.Method, URI: v.c.URI,
 		Host: v.c.Host, Header: v.c.Header, Body: v.c.Body, Idempotent: v.route.Idempotent, Priority: v.route.Priority,
@@ -112,7 +152,7 @@
 	}
 	go func() {
 		r, err := v.n.send(ctx, c.Addr, req)
-		out := result{server: c.Addr, reply: r, err: err, took: v.n.d.Now().Sub(now)}
+		out := result{server: c.Addr, reply: r, err: err, took: v.n.d.Now().Sub(now), offer: patience == 0}
 		v.n.board.End(c.Addr, out.observed(ctx))
 		results <- out
 	}()
@@ -152,7 +192,11 @@
 			v.maybeRan = true
 			return nil, v.mayRepeat(ctx)
 		}
-		return nil, ctx.Err() == nil && len(v.trace) < maxBusy+v.route.Attempts
+		v.without[r.server] = true
+		return nil, ctx.Err() == nil && len(v.trace) < maxOffers+maxBusy+v.route.Attempts
+	}
+	if r.reply.Outcome != bounced {
+		v.without[r.server] = true
 	}
 	switch r.reply.Outcome {
 	case answered:
@@ -181,13 +225,17 @@
 	if v.refusal == nil || r.reply.Wait > 0 {
 		v.refusal = refuse.NotRun(r.reply.Reason, r.reply.Detail)
 	}
+	if r.offer && r.reply.Wait > 0 {
+		return ctx.Err() == nil
+	}
+	v.without[r.server] = true
 	if r.reply.Wait > 0 {
 		if v.busy++; v.waits == 0 || r.reply.Wait < v.waits {
 			v.waits = r.reply.Wait
 			v.spare = append([]ident.Addr{r.server}, v.spare...)
 		}
 	}
-	return ctx.Err() == nil && v.busy < maxBusy && len(v.trace) < 2*maxBusy
+	return ctx.Err() == nil && v.busy < maxBusy && len(v.trace) < maxOffers+2*maxBusy
 }
 
 // mayRepeat reports whether a call that may have run is sent again, and takes the attempt from the budget.
@@ -233,7 +281,7 @@
 	if r.err == nil {
 		s.name, s.reason = outcomeName(r.reply), string(r.reply.Reason)
 		if r.reply.Outcome == answered && r.reply.Status < 400 {
-			v.n.usual.add(v.route.ID, r.took)
+			v.n.usual.add(v.route.ID, v.service, r.took, r.reply.Took)
 		}
 	} else if mayHaveRun(r.err) {
 		s.name = "NoAnswer"
--- a/retry/shared.go
+++ b/retry/shared.go
@@ -16,12 +16,13 @@
 }
 
 const (
-	// safety is the part of the shared limits that daemons use, since requests are not spread evenly over
-	// windows.
-	safety = 0.5
+	// ratioShare and slackShare are the parts of the shared limits that daemons use, since requests are not
+	// spread evenly over windows and repeats of other services' requests count too.
+	ratioShare = 0.6
+	slackShare = 0.4
 	// ranCost is the cost of an attempt after one that may have run. A run makes calls of its own, and those
 	// of a repeated run count as repeats at services that do not see why.
-	ranCost = 2.5
+	ranCost = 2.0
 )
 
 // Shared is a daemon's part of a retry budget that all daemons share without talking about it: the ratio
@@ -69,7 +70,7 @@
 	defer s.mu.Unlock()
 	now := s.now()
 	v := s.at(service, now)
-	allowed := safety * (s.limits.Ratio*float64(len(v.requests)) + s.limits.Slack/float64(max(1, s.daemons())))
+	allowed := ratioShare*s.limits.Ratio*float64(len(v.requests)) + slackShare*s.limits.Slack/float64(max(1, s.daemons()))
 	if float64(len(v.attempts))+v.rest+cost > allowed {
 		return false
 	}
--- a/route/board.go
+++ b/route/board.go
@@ -110,8 +110,8 @@
 }
 
 // Pick chooses among the candidates and counts an attempt there, which End ends. left is the time to the
-// goal of the request. It reports false if there is no candidate that is not paused.
-func (b *Board) Pick(list []Candidate, left time.Duration) (Candidate, bool) {
+// goal of the request, weight its work as a multiple of the mean of the service. It reports false if there is no candidate that is not paused.
+func (b *Board) Pick(list []Candidate, left time.Duration, weight float64) (Candidate, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
@@ -122,7 +122,7 @@
 			continue
 		}
 		// Daemons that see the same reports would all choose the same server.
-		v := b.loss(s, &list[i], left, now) + 0.02*b.random()
+		v := b.loss(s, &list[i], left, weight, now) + 0.02*b.random()
 		if best < 0 || v < lowest {
 			best, lowest = i, v
 		}
@@ -135,16 +135,16 @@
 }
 
 // loss is what a request is expected to lose at a server, in shares of its worth.
-func (b *Board) loss(s *standing, c *Candidate, left time.Duration, now time.Time) float64 {
+func (b *Board) loss(s *standing, c *Candidate, left time.Duration, weight float64, now time.Time) float64 {
 	d := b.place.Distance(c.Place)
-	took := (s.expect(c, now) + roundTrips[d]).Seconds()
+	took := (s.expect(c, weight, now) + roundTrips[d]).Seconds()
 	goal := max(left.Seconds(), 0.02)
 	late := 1 / (1 + math.Exp(-(took/goal-lateMargin)/lateSpread))
 	return lateLoss*late + haste*min(2, took/goal) + transfers[d] + s.rate(now)
 }
 
 // expect returns the expected time that a request spends at a server.
-func (s *standing) expect(c *Candidate, now time.Time) time.Duration {
+func (s *standing) expect(c *Candidate, weight float64, now time.Time) time.Duration {
 	mean := s.mean()
 	switch {
 	case s.known && s.report.Slowness > 0 && now.Sub(s.reported) < slownessAge:
@@ -154,7 +154,7 @@
 	}
 	slots := float64(max(1, c.Slots))
 	running := float64(s.mine) + s.decayed(now)
-	v := (1 + crowding*min(1, running/slots)) * float64(mean)
+	v := weight * (1 + crowding*min(1, running/slots)) * float64(mean)
 	if over := running + 1 - slots; over > 0 {
 		v += over / slots * float64(mean)
 	}
--- a/route/board_test.go
+++ b/route/board_test.go
@@ -50,7 +50,7 @@
 			now := time.Unix(1, 0)
 			b := boardAt(&now)
 			report(b, "here", tt.here)
-			c, ok := b.Pick(three(), goal)
+			c, ok := b.Pick(three(), goal, 1)
 			is.True(ok)
 			is.Equal(c.Addr, tt.want)
 		})
@@ -66,7 +66,7 @@
 	list := []Candidate{{Addr: "x", Place: nearest, Slots: 4}, {Addr: "y", Place: nearest, Slots: 4}}
 	got := map[ident.Addr]int{}
 	for range 20 {
-		c, ok := b.Pick(list, 300*time.Millisecond)
+		c, ok := b.Pick(list, 300*time.Millisecond, 1)
 		is.True(ok)
 		got[c.Addr]++
 	}
@@ -83,10 +83,10 @@
 		b.at("here").mine++
 		b.End("here", Result{Failed: true, Took: time.Millisecond})
 	}
-	c, _ := b.Pick(three(), 300*time.Millisecond)
+	c, _ := b.Pick(three(), 300*time.Millisecond, 1)
 	is.Equal(c.Addr, ident.Addr("near"))
 	now = now.Add(time.Minute)
-	c, _ = b.Pick(three(), 300*time.Millisecond)
+	c, _ = b.Pick(three(), 300*time.Millisecond, 1)
 	is.Equal(c.Addr, ident.Addr("here"))
 }
 
@@ -99,9 +99,9 @@
 	only := three()[:1]
 	b.at("here").mine++
 	b.End("here", Result{Refused: true, Failed: true})
-	_, ok := b.Pick(only, time.Second)
+	_, ok := b.Pick(only, time.Second, 1)
 	is.True(!ok)
 	b.Forget("here")
-	_, ok = b.Pick(only, time.Second)
+	_, ok = b.Pick(only, time.Second, 1)
 	is.True(ok)
 }
