admit: Refuse late requests at once while others that could be in time are turned away

Patience now leaves the time for the work itself. Ruled out: longer estimates, which held more requests.

--- a/admit/slots.go
+++ b/admit/slots.go
@@ -50,8 +50,13 @@
 	running int
 	queue   []*slotWaiter
 	times   serviceTimes
+	turned  time.Time // when a request was last turned away that could have reached its goal
 }
 
+// crowdedFor is how long after the last request that was turned away the server counts as crowded: with a few
+// of them a second, it stays so.
+const crowdedFor = 300 * time.Millisecond
+
 // NewSlots returns Slots that are closed until Open is called. A nil now is the process's clock.
 func NewSlots(now func() time.Time) *Slots {
 	if now == nil {
@@ -128,7 +133,15 @@
 		return w, nil
 	}
 	wait := s.wait(w, now)
-	if wait > a.Patience || now.Add(wait+w.cost).After(a.Deadline) {
+	inTime := !now.Add(w.cost).After(a.Goal)
+	late := now.Add(wait + w.cost).After(a.Goal)
+	// While requests that could reach their goal are turned away, one that cannot would wait behind others that
+	// come later, and be refused in the end.
+	crowded := late && now.Sub(s.turned) < crowdedFor
+	if wait > a.Patience || crowded || now.Add(wait+w.cost).After(a.Deadline) {
+		if inTime && a.Patience > 0 {
+			s.turned = now
+		}
 		return nil, &Busy{
 			Refusal: refuse.NotRun(refuse.QueueFull, fmt.Sprintf("%d waiting, expected wait %s", len(s.queue), wait.Round(time.Millisecond))),
 			Wait:    s.drained(),
--- a/mesh/usual.go
+++ b/mesh/usual.go
@@ -44,6 +44,16 @@
 	return firstUsual
 }
 
+// workOf returns how long a backend server works on a call of route; zero: not known.
+func (u *usual) workOf(id ident.RouteID) time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if t := u.routes[id]; t != nil {
+		return t.work
+	}
+	return 0
+}
+
 // weight returns the work of a call of route as a multiple of the mean of its service.
 func (u *usual) weight(id ident.RouteID, service ident.ServiceID) float64 {
 	u.mu.Lock()
--- a/mesh/visit.go
+++ b/mesh/visit.go
@@ -21,6 +21,8 @@
 	// lateShare is the part of a caller's remaining time for which a call that misses its goal still
 	// waits. The rest is for the work itself.
 	lateShare = 0.3
+	// leastPatience distinguishes a call that waits for a slot from an offer.
+	leastPatience = time.Millisecond
 	// answerMargin is taken from the time that is left to a backend server, so that what became of the request
 	// is known before the caller leaves.
 	answerMargin = 10 * time.Millisecond
@@ -100,7 +102,9 @@
 }
 
 // onTime is the longest wait with which the call still reaches its goal.
-func (v *visit) onTime() time.Duration { return max(0, v.goal.Sub(v.n.d.Now())) }
+func (v *visit) onTime() time.Duration {
+	return max(leastPatience, v.goal.Sub(v.n.d.Now())-v.n.usual.workOf(v.route.ID))
+}
 
 // late is the longest wait for a call that misses its goal.
 func (v *visit) late() time.Duration {
