--- a/admit/slots.go
+++ b/admit/slots.go
@@ -50,7 +50,7 @@
 	running int
 	queue   []*slotWaiter
 	times   serviceTimes
-	turned  time.Time // when a request was last turned away that could have reached its goal
+	turned  map[int]time.Time // by priority: when one was last turned away that could have reached its goal
 }
 
 // crowdedFor is how long after the last request that was turned away the server counts as crowded: with a few
@@ -64,7 +64,7 @@
 	}
 	return &Slots{
 		now: now, closed: refuse.NotRun(refuse.Starting, "no backend server has announced itself"),
-		times: newServiceTimes(),
+		times: newServiceTimes(), turned: map[int]time.Time{},
 	}
 }
 
@@ -137,10 +137,10 @@
 	late := now.Add(wait + w.cost).After(a.Goal)
 	// While requests that could reach their goal are turned away, one that cannot would wait behind others that
 	// come later, and be refused in the end.
-	crowded := late && now.Sub(s.turned) < crowdedFor
+	crowded := late && s.crowded(a.Priority, now)
 	if wait > a.Patience || crowded || now.Add(wait+w.cost).After(a.Deadline) {
 		if inTime && a.Patience > 0 {
-			s.turned = now
+			s.turned[a.Priority] = now
 		}
 		return nil, &Busy{
 			Refusal: refuse.NotRun(refuse.QueueFull, fmt.Sprintf("%d waiting, expected wait %s", len(s.queue), wait.Round(time.Millisecond))),
@@ -152,6 +152,16 @@
 	return w, nil
 }
 
+// crowded reports whether requests of the priority or a higher one are turned away at present.
+func (s *Slots) crowded(priority int, now time.Time) bool {
+	for p, at := range s.turned {
+		if p <= priority && now.Sub(at) < crowdedFor {
+			return true
+		}
+	}
+	return false
+}
+
 // wait returns the expected time until w gets a slot.
 func (s *Slots) wait(w *slotWaiter, now time.Time) time.Duration {
 	ahead := s.times.all.mean() // half of what runs is done on average, and one of them has to end
--- a/admit/slots_test.go
+++ b/admit/slots_test.go
@@ -167,3 +167,33 @@
 		is.Equal(refuse.From(err).Reason, refuse.Draining)
 	})
 }
+
+// TestSlotsCrowded guards against late requests that wait behind newer ones until their patience ends: a
+// sustained overload at one service, with calls of higher priority that others wait for.
+func TestSlotsCrowded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := NewSlots(nil)
+		s.Open(1)
+		for range 10 {
+			release, err := s.Enter(t.Context(), ask("r", 2, time.Second, time.Second, 0))
+			is.NoErr(err)
+			release(100 * ms)
+		}
+		_, err := s.Enter(t.Context(), ask("r", 2, time.Second, time.Second, 0))
+		is.NoErr(err)
+		enter := func(priority int, goal time.Duration) error {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+			defer cancel()
+			_, err := s.Enter(ctx, ask("r", priority, goal, 2*time.Second, time.Second))
+			return err
+		}
+		is.Equal(refuse.From(enter(2, 10*ms)).Reason, refuse.DeadlinePassed) // late, and waits
+		_, err = s.Enter(t.Context(), ask("r", 2, 150*ms, 2*time.Second, 20*ms))
+		is.Equal(refuse.From(err).Reason, refuse.QueueFull) // could have been in time
+		is.Equal(refuse.From(enter(2, 10*ms)).Reason, refuse.QueueFull)
+		is.Equal(refuse.From(enter(1, 10*ms)).Reason, refuse.DeadlinePassed) // more urgent, and waits
+		time.Sleep(crowdedFor)
+		is.Equal(refuse.From(enter(2, 10*ms)).Reason, refuse.DeadlinePassed)
+	})
+}
