--- a/mesh/storeloop.go
+++ b/mesh/storeloop.go
@@ -18,7 +18,7 @@
 	// leastPause and mostPause bound the wait after a failed call to the store. Entries have to be back two
 	// seconds after its return, and all daemons together stay far below its rates.
 	leastPause = 100 * time.Millisecond
-	mostPause  = 500 * time.Millisecond
+	mostPause  = 900 * time.Millisecond
 	// gatherPause lets changes that follow each other closely arrive with one watch: each watch is a call to
 	// the store. It is a fifth of the time in which a configuration has to be in force.
 	gatherPause = 500 * time.Millisecond
