--- a/mesh/config.go
+++ b/mesh/config.go
@@ -13,13 +13,9 @@
 	Touch time.Duration
 	// Lease is how long the store keeps the entry of a daemon that is silent.
 	Lease time.Duration
-	// Drain is the time after which a backend server that said that it leaves gets no request.
-	Drain time.Duration
-	// Grace is the time from the signal to stop until the process is killed.
-	Grace time.Duration
 	// Retries bounds the further attempts of all daemons together.
 	Retries retry.SharedLimits
-	// MaxFrame is the largest body of a request or response, in bytes.
+	// MaxBody is the largest body of a request or response, in bytes.
 	MaxBody int64
 }
 
@@ -28,8 +24,6 @@
 	return Config{
 		Touch:   3 * time.Second,
 		Lease:   4 * time.Second,
-		Drain:   2500 * time.Millisecond,
-		Grace:   6 * time.Second,
 		Retries: retry.SharedLimits{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
 		MaxBody: 7 << 20,
 	}
