--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -247,3 +247,23 @@
 	t.Cleanup(func() { _ = server.Close() })
 	eventually(t, "requests again", func() bool { return !a.slots.Level().Closed })
 }
+
+// TestHedge guards against callers that wait for one slow server, and against a second attempt at that server.
+func TestHedge(t *testing.T) {
+	is := is.New(t)
+	_, a, b := two(t)
+	for range 50 { // learns that the work is short
+		is.Equal(a.call(t.Context(), "/s/get/").Refusal, nil)
+	}
+	before := a.backend.total.Load()
+	a.backend.set(func(http.ResponseWriter, *http.Request) { time.Sleep(time.Second) })
+	began := time.Now()
+	ans := a.call(t.Context(), "/s/get/")
+	is.Equal(string(ans.Body), "ok "+b.backend.id)
+	is.True(time.Since(began) < 800*time.Millisecond)
+	is.Equal(a.backend.total.Load()-before, int32(1))
+	is.Equal(b.backend.total.Load(), int32(1))
+	before = a.backend.total.Load()
+	is.Equal(a.call(t.Context(), "/s/buy/").Refusal, nil) // is not repeated
+	is.Equal(a.backend.total.Load()-before+b.backend.total.Load(), int32(2))
+}
--- a/mesh/visit.go
+++ b/mesh/visit.go
@@ -58,7 +58,7 @@
 	for running > 0 {
 		select {
 		case <-hedge.C:
-			if v.mayHedge(running) && v.next(ctx, results) {
+			if v.mayHedge(running) && v.hedge(ctx, results) {
 				v.n.d.Stats.Retried("Hedge")
 				running++
 			}
@@ -93,6 +93,15 @@
 	return v.start(ctx, results, v.onTime())
 }
 
+// hedge begins a second attempt beside one that is slow, at a server that has not been asked: one that took an
+// offer is still at work on it.
+func (v *visit) hedge(ctx context.Context, results chan<- result) bool {
+	for a := range v.offered {
+		v.without[a] = true
+	}
+	return v.next(ctx, results)
+}
+
 // nearby returns the servers of the data centre that have not been asked.
 func (v *visit) nearby() []route.Candidate {
 	list, _ := v.n.roster.candidates(v.service, v.without, v.n.d.Now())
