mesh, origin, table: Forget absent daemons in one place, drop dead code

The loop over daemons without an entry stood in read and in dropAbsent; exchange had a branch with two equal ends; Table.Services had no user.

--- a/mesh/readers.go
+++ b/mesh/readers.go
@@ -53,7 +53,11 @@
 		return
 	}
 	if m.Full {
-		n.dropAbsent(m.Peers)
+		there := map[ident.Addr]bool{}
+		for i := range m.Peers {
+			there[m.Peers[i].Addr] = true
+		}
+		n.dropAbsent(there)
 	}
 	for _, a := range m.Gone {
 		n.forget(a)
@@ -85,12 +89,8 @@
 	}
 }
 
-// dropAbsent forgets the daemons that are not among those whose entries the store holds.
-func (n *Node) dropAbsent(peers []Peer) {
-	there := map[ident.Addr]bool{}
-	for i := range peers {
-		there[peers[i].Addr] = true
-	}
+// dropAbsent forgets the other daemons whose entries the store does not hold.
+func (n *Node) dropAbsent(there map[ident.Addr]bool) {
 	for _, a := range n.roster.addrs() {
 		if !there[a] && a != n.d.Self {
 			n.roster.unstored(a)
--- a/mesh/storeloop.go
+++ b/mesh/storeloop.go
@@ -148,11 +148,7 @@
 			there[a] = true
 		}
 	}
-	for _, a := range n.roster.addrs() {
-		if !there[a] {
-			n.forget(a)
-		}
-	}
+	n.dropAbsent(there)
 	if !there[n.d.Self] {
 		n.lapsed()
 	}
--- a/origin/conn.go
+++ b/origin/conn.go
@@ -65,15 +65,7 @@
 		}
 		return nil, fmt.Errorf("%w: write: %w", ErrLost, err)
 	}
-	resp, err := c.read(r, n)
-	if err != nil {
-		return nil, err
-	}
-	if !stop() {
-		// The caller left while the answer arrived: it is complete, the connection is not.
-		return resp, nil
-	}
-	return resp, nil
+	return c.read(r, n)
 }
 
 func (c *conn) read(r *Request, n Names) (*Response, error) {
@@ -110,7 +102,10 @@
 	if hr.Close || (hr.ContentLength < 0 && len(hr.TransferEncoding) == 0) {
 		resp.keep = 0
 	}
-	return resp, check(r, resp, n)
+	if err := check(r, resp, n); err != nil {
+		return nil, err
+	}
+	return resp, nil
 }
 
 // check returns an error if resp cannot be the backend server's whole answer to r.
--- a/table/table.go
+++ b/table/table.go
@@ -95,9 +95,6 @@
 	return s, ok
 }
 
-// Services returns the number of services that routes may lead to.
-func (t *Table) Services() int { return len(t.services) }
-
 // Find returns the route with the longest prefix that begins path, of the routes of host.
 func (t *Table) Find(host, path string) (*Choice, bool) {
 	for _, c := range t.hosts[canonicalHost(host)] {
