mesh: Hold off requests that crash backend servers

Cause: a request that ended every process that ran it was repeated, and sent again by its caller, without end; the suspects of the path with members served that path only. Ruled out: telling all daemons over open links only (TestCrashingRequest: all four servers crashed, since two of the daemons had no link).

--- a/mesh/gossip.go
+++ b/mesh/gossip.go
@@ -49,6 +49,7 @@
 		}
 		n.adopt(raw, "Peer", c.RemoteAddr().String())
 	}
+	n.suspects.Merge(m.Suspects)
 	n.readers.heard(n, c, &m)
 	switch {
 	case m.Follow:
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"net/http"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -267,3 +269,39 @@
 	is.Equal(a.call(t.Context(), "/s/buy/").Refusal, nil) // is not repeated
 	is.Equal(a.backend.total.Load()-before+b.backend.total.Load(), int32(2))
 }
+
+// TestCrashingRequest guards against a request that crashes each backend server that runs it and is sent to all of
+// them, by any daemon, and against others that are held off with it.
+func TestCrashingRequest(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	r.configure(1, "s")
+	var crashed atomic.Int32
+	for _, place := range []ident.Place{here, near, near, near} {
+		n := r.add(place, "s")
+		n.backend.set(func(w http.ResponseWriter, q *http.Request) {
+			if strings.HasSuffix(q.URL.Path, "/crash") {
+				crashed.Add(1)
+				// Like the end of the process: its port is closed and all its connections are reset.
+				_ = n.backend.server.Close()
+			}
+		})
+		eventually(t, "configuration", n.Ready)
+		n.beat(Ready)
+	}
+	for _, n := range r.nodes {
+		n.sees(t, "s", 4)
+	}
+	for i := range 20 {
+		at := r.nodes[i%4]
+		ans := at.call(t.Context(), "/s/get/crash")
+		is.True(ans.Refusal != nil)
+		if i > 4 {
+			is.Equal(ans.Refusal.Reason, refuse.Poisoned)
+			is.Equal(ans.Refusal.Ran, refuse.RanNo)
+		}
+		time.Sleep(20 * time.Millisecond) // the others are told
+	}
+	is.True(crashed.Load() <= 3)
+	is.Equal(r.nodes[0].call(t.Context(), "/s/get/other").Refusal, nil)
+}
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/marjoramcroft/marjoramcroft/ident"
+	"github.com/marjoramcroft/marjoramcroft/poison"
 	"github.com/marjoramcroft/marjoramcroft/refuse"
 	"github.com/marjoramcroft/marjoramcroft/route"
 )
@@ -67,4 +68,5 @@
 	Want     bool          // the sender asks for configuration and peers
 	Follow   bool          // the sender asks for them now and for all changes from now on
 	Fresh    bool          // the sender reads the store and has what it holds
+	Suspects []poison.Suspect
 }
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -12,6 +12,7 @@
 	"github.com/marjoramcroft/marjoramcroft/ident"
 	"github.com/marjoramcroft/marjoramcroft/link"
 	"github.com/marjoramcroft/marjoramcroft/origin"
+	"github.com/marjoramcroft/marjoramcroft/poison"
 	"github.com/marjoramcroft/marjoramcroft/retry"
 	"github.com/marjoramcroft/marjoramcroft/route"
 	"github.com/marjoramcroft/marjoramcroft/stats"
@@ -54,8 +55,11 @@
 	slots   *admit.Slots
 	retries *retry.Shared
 	usual   usual
-	links   links
-	readers readers
+	crashes crashes
+	// suspects are requests that were in flight when backend servers crashed.
+	suspects *poison.Suspects
+	links    links
+	readers  readers
 
 	stopping atomic.Bool
 	synced   atomic.Bool   // the last call to the store succeeded
@@ -86,7 +90,7 @@
 	n := &Node{
 		d: d, life: ident.NewIncarnation(d.Now()), roster: newRoster(),
 		board: route.NewBoard(d.Place, d.Now, d.Random), slots: admit.NewSlots(d.Now),
-		usual: newUsual(),
+		usual: newUsual(), suspects: poison.New(poison.Deps{Log: d.Log, Stats: d.Stats}),
 		links: links{open: map[ident.Addr]*opening{}},
 		conns: map[*link.Conn]struct{}{}, changed: make(chan struct{}, 1), hurry: make(chan struct{}, 1),
 	}
--- a/mesh/roster.go
+++ b/mesh/roster.go
@@ -136,3 +136,16 @@
 	}
 	return out, n
 }
+
+// hosts returns the daemons beside the backend servers of service, whatever the state of these.
+func (r *roster) hosts(service ident.ServiceID) []ident.Addr {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	var out []ident.Addr
+	for addr, p := range r.peers {
+		if p.Server != nil && p.Server.Service == service {
+			out = append(out, addr)
+		}
+	}
+	return out
+}
--- a/mesh/target.go
+++ b/mesh/target.go
@@ -57,6 +57,11 @@
 	case s == nil || s.Service != r.Service:
 		return bounce(refuse.NotRun(refuse.NoServer, "no backend server of "+string(r.Service)+" here"))
 	}
+	if !n.suspects.Empty() {
+		if err := n.suspects.Check(r.fingerprint()); err != nil {
+			return bounce(err)
+		}
+	}
 	release, err := n.slots.Enter(ctx, admit.Ask{
 		Route: r.Route, Priority: r.Priority, Goal: began.Add(r.Goal), Deadline: began.Add(r.Left), Patience: r.Patience,
 	})
@@ -76,7 +81,7 @@
 	}, r.Idempotent)
 	d := n.d.Now().Sub(start)
 	if err != nil {
-		return n.failed(s, r, err, d)
+		return n.failed(ctx, s, r, err, d)
 	}
 	resp.Header.Del(n.d.Names.Request) // known to the entry
 	out := &reply{Outcome: answered, Status: resp.Status, Header: resp.Header, Body: resp.Body, Took: d}
@@ -91,13 +96,14 @@
 		out.Outcome, out.Reason, out.Detail = shed, refuse.Shedding, "the backend server did not run the request"
 	default:
 		took = d
+		n.completed(r.fingerprint, resp.Status)
 		n.d.Stats.Time("Target.Service", d)
 	}
 	return out
 }
 
 // failed classifies a request that has no answer of the backend server.
-func (n *Node) failed(s *local, r *request, err error, d time.Duration) *reply {
+func (n *Node) failed(ctx context.Context, s *local, r *request, err error, d time.Duration) *reply {
 	n.d.Log.Emit(event.TargetLost, "Call", r.ID, "Server", s.ID, "After", d, "Error", err)
 	if errors.Is(err, origin.ErrRefused) {
 		n.unreachable(s)
@@ -105,6 +111,9 @@
 	if !origin.MayHaveRun(err) {
 		return bounce(refuse.NotRun(refuse.NoServer, err.Error()))
 	}
+	if errors.Is(err, origin.ErrLost) && !errors.Is(err, origin.ErrSpoiled) && ctx.Err() == nil {
+		n.lostAnswer(s, r)
+	}
 	return &reply{Outcome: lost, Reason: refuse.AnswerLost, Detail: err.Error()}
 }
 
--- a/mesh/visit.go
+++ b/mesh/visit.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/marjoramcroft/marjoramcroft/ident"
+	"github.com/marjoramcroft/marjoramcroft/poison"
 	"github.com/marjoramcroft/marjoramcroft/refuse"
 	"github.com/marjoramcroft/marjoramcroft/retry"
 	"github.com/marjoramcroft/marjoramcroft/route"
@@ -82,6 +83,9 @@
 // next begins an attempt: while offers are made at a server of the data centre that has a free slot, then at any
 // that can answer in time.
 func (v *visit) next(ctx context.Context, results chan<- result) bool {
+	if v.poisoned() {
+		return false
+	}
 	if v.offers < maxOffers {
 		v.offers++
 		if v.startAt(ctx, results, 0, v.nearby()) {
@@ -214,6 +218,7 @@
 	switch r.reply.Outcome {
 	case answered:
 		v.sent++
+		v.n.completed(v.fingerprint, r.reply.Status)
 		a := &Answer{Status: r.reply.Status, Header: r.reply.Header, Body: r.reply.Body}
 		if a.Status < 500 || !v.mayRepeat(ctx) {
 			return a, false
@@ -238,6 +243,10 @@
 	if v.refusal == nil || r.reply.Wait > 0 {
 		v.refusal = refuse.NotRun(r.reply.Reason, r.reply.Detail)
 	}
+	if r.reply.Reason == refuse.Poisoned {
+		v.waits = poison.Expiry
+		return false
+	}
 	if r.offer && r.reply.Wait > 0 {
 		return ctx.Err() == nil
 	}
