mesh, route, admit: Pass over servers that are known to have queues

Cause: under overload each call asked up to 11 daemons for a slot. A refusal now states for how long the request would have waited, and each report when a slot will be free that none waits for. Until then no request with less patience, and no higher rank, is sent there. Offers that are not taken are counted at the target and listed by the entry, without a line of their own. Ruled out: the priorities of calls (they are first in the queue), loss on the links in that window.

--- a/admit/slots.go
+++ b/admit/slots.go
@@ -20,11 +20,11 @@
 	Patience time.Duration
 }
 
-// Busy is the refusal of a request that would wait too long. Wait is the time until a request like
-// it is likely to get a slot at once.
+// Busy is the refusal of a request that would wait too long.
 type Busy struct {
 	*refuse.Refusal
-	Wait time.Duration
+	Wait time.Duration // until a request like it is likely to get a slot at once
+	Turn time.Duration // for which the request would have waited
 }
 
 // Unwrap returns the refusal.
@@ -91,6 +91,7 @@
 type Level struct {
 	Running, Waiting, Slots int
 	Mean                    time.Duration // service time
+	Drained                 time.Duration // expected time until a slot is free that none waits for
 	Closed                  bool
 }
 
@@ -98,9 +99,13 @@
 func (s *Slots) Level() Level {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return Level{
+	l := Level{
 		Running: s.running, Waiting: len(s.queue), Slots: s.limit, Mean: s.times.all.mean(), Closed: s.closed != nil,
 	}
+	if s.limit > 0 && s.running >= s.limit {
+		l.Drained = s.drained()
+	}
+	return l
 }
 
 // Enter waits for a slot. The error is a *Busy if the wait would be too long, else a *refuse.Refusal;
@@ -144,7 +149,7 @@
 		}
 		return nil, &Busy{
 			Refusal: refuse.NotRun(refuse.QueueFull, fmt.Sprintf("%d waiting, expected wait %s", len(s.queue), wait.Round(time.Millisecond))),
-			Wait:    s.drained(),
+			Wait:    s.drained(), Turn: wait,
 		}
 	}
 	w.result = make(chan error, 1)
--- a/admit/slots_test.go
+++ b/admit/slots_test.go
@@ -197,3 +197,18 @@
 		is.Equal(refuse.From(enter(2, 10*ms)).Reason, refuse.DeadlinePassed)
 	})
 }
+
+// TestSlotsLevel guards against a daemon that ends when another one asks before its backend server has announced
+// itself, and against a stated queue while a slot is free.
+func TestSlotsLevel(t *testing.T) {
+	is := is.New(t)
+	s := NewSlots(nil)
+	is.Equal(s.Level(), Level{Mean: firstGuess, Closed: true})
+	s.Open(1)
+	is.Equal(s.Level().Drained, time.Duration(0))
+	leave, err := s.Enter(t.Context(), Ask{Deadline: time.Now().Add(time.Second)})
+	is.NoErr(err)
+	is.Equal(s.Level().Drained, firstGuess)
+	leave(0)
+	is.Equal(s.Level().Drained, time.Duration(0))
+}
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -51,6 +51,7 @@
 	Reason   refuse.Reason
 	Detail   string
 	Wait     time.Duration // with bounced: until the server is likely to take such a request
+	Turn     time.Duration // with bounced: for which the request would have waited
 	Took     time.Duration // with answered: at the backend server
 	Report   route.Report
 	Version  ident.Version
--- a/mesh/target.go
+++ b/mesh/target.go
@@ -38,11 +38,13 @@
 	out := n.pass(ctx, r, began)
 	level := n.slots.Level()
 	out.Report.Running, out.Report.Waiting, out.Report.Slots = level.Running, level.Waiting, level.Slots
-	out.Report.Mean = level.Mean
+	out.Report.Mean, out.Report.Drained = level.Mean, level.Drained
 	out.Version = n.Version()
 	n.noticeVersion(r.Version)
 	n.d.Stats.Inc("Target." + outcomeName(out))
-	if out.Outcome != answered {
+	// The entry's line names the offers that were not taken. Under overload these are most of all requests.
+	offer := r.Patience == 0 && out.Reason == refuse.QueueFull
+	if out.Outcome != answered && !offer {
 		n.d.Log.Emit(event.TargetRefused, "Call", r.ID, "Service", r.Service, "Outcome", outcomeName(out), "Reason", out.Reason,
 			"Detail", out.Detail, "Running", level.Running, "Waiting", level.Waiting, "Slots", level.Slots, "Left", r.Left, "Patience", r.Patience)
 	}
@@ -125,7 +127,7 @@
 	}
 	var busy *admit.Busy
 	if errors.As(err, &busy) {
-		out.Wait = busy.Wait
+		out.Wait, out.Turn = busy.Wait, busy.Turn
 	}
 	return out
 }
--- a/mesh/visit.go
+++ b/mesh/visit.go
@@ -42,6 +42,7 @@
 	err    error
 	took   time.Duration
 	offer  bool // of a slot that is free at once
+	need   route.Need
 }
 
 // run makes the attempts of a call until one is answered or no more is allowed.
@@ -125,14 +126,15 @@
 }
 
 // wantsWait reports whether the call is to wait at a server that was busy, having asked all others.
-// It is asked once: the server is then no longer among the spare ones.
+// It does so once.
 func (v *visit) wantsWait() bool {
-	if len(v.spare) == 0 || v.sent > 0 {
+	if v.waits == 0 || v.sent > 0 || v.waited {
 		return false
 	}
-	best := v.spare[0]
-	v.spare = nil
-	delete(v.without, best)
+	v.waited = true
+	if len(v.spare) > 0 {
+		delete(v.without, v.spare[0])
+	}
 	return v.waits < v.late()
 }
 
@@ -153,8 +155,13 @@
 // startAt begins an attempt at the best of the candidates and reports whether there is one.
 func (v *visit) startAt(ctx context.Context, results chan<- result, patience time.Duration, list []route.Candidate) bool {
 	now := v.n.d.Now()
-	c, ok := v.n.board.Pick(list, v.goal.Sub(now), v.n.usual.weight(v.route.ID, v.service))
+	need := route.Need{
+		Left: v.goal.Sub(now), Due: v.due(now), Weight: v.n.usual.weight(v.route.ID, v.service),
+		Priority: v.route.Priority, Patience: patience,
+	}
+	c, wait, ok := v.n.board.Pick(list, need)
 	if !ok {
+		v.full(wait)
 		return false
 	}
 	if patience == 0 {
@@ -169,13 +176,41 @@
 	}
 	go func() {
 		r, err := v.n.send(ctx, c.Addr, req)
-		out := result{server: c.Addr, reply: r, err: err, took: v.n.d.Now().Sub(now), offer: patience == 0}
+		out := result{server: c.Addr, reply: r, err: err, took: v.n.d.Now().Sub(now), offer: patience == 0, need: need}
 		v.n.board.End(c.Addr, out.observed(ctx))
 		results <- out
 	}()
 	return true
 }
 
+// due is when the call is due at a server: at its goal, or at its limit if that cannot be reached.
+func (v *visit) due(now time.Time) time.Time {
+	if now.Add(v.n.usual.workOf(v.route.ID)).After(v.goal) {
+		return v.limit
+	}
+	return v.goal
+}
+
+// full notes that servers were passed over, of which the first is likely to have a slot after wait. Zero: none was.
+func (v *visit) full(wait time.Duration) {
+	if wait == 0 {
+		return
+	}
+	v.waitAt(wait)
+	if v.refusal == nil {
+		v.refusal = refuse.NotRun(refuse.QueueFull, "all backend servers of "+string(v.service)+" have queues")
+	}
+}
+
+// waitAt notes the wait that a busy server states, and reports whether it is the shortest so far.
+func (v *visit) waitAt(wait time.Duration) bool {
+	if v.waits != 0 && v.waits <= wait {
+		return false
+	}
+	v.waits = wait
+	return true
+}
+
 // observed returns what an attempt says of its server.
 func (r *result) observed(ctx context.Context) route.Result {
 	switch {
@@ -195,6 +230,9 @@
 	default:
 		out.Took = 0
 		out.Refused = r.reply.Wait == 0
+		if !r.offer && r.reply.Turn > 0 {
+			out.Turned, out.Turn = &r.need, r.reply.Turn
+		}
 	}
 	return out
 }
@@ -252,8 +290,7 @@
 	}
 	v.without[r.server] = true
 	if r.reply.Wait > 0 {
-		if v.busy++; v.waits == 0 || r.reply.Wait < v.waits {
-			v.waits = r.reply.Wait
+		if v.busy++; v.waitAt(r.reply.Wait) {
 			v.spare = append([]ident.Addr{r.server}, v.spare...)
 		}
 	}
--- a/route/board.go
+++ b/route/board.go
@@ -14,9 +14,19 @@
 	Waiting  int
 	Slots    int
 	Mean     time.Duration // service time
+	Drained  time.Duration // expected time until a slot is free that no request waits for
 	Slowness int           // duration of work at this moment in percent of the usual; zero: not known
 }
 
+// Need is what a request asks of a server.
+type Need struct {
+	Left     time.Duration // to its goal
+	Due      time.Time     // requests of its priority that are due earlier go first
+	Weight   float64       // its work as a multiple of the mean of the service
+	Priority int           // zero is the highest
+	Patience time.Duration // the longest wait for a slot; zero: a slot that is free at once
+}
+
 // Candidate is a backend server that may take a request.
 type Candidate struct {
 	Addr  ident.Addr // of the daemon beside it
@@ -32,6 +42,9 @@
 	Took    time.Duration
 	Failed  bool // the backend server failed the request, or its answer was lost
 	Refused bool // the daemon or the backend server cannot be reached
+	// Turned is set if the server did not take the request, which would have had to wait for Turn.
+	Turned *Need
+	Turn   time.Duration
 }
 
 const (
@@ -88,6 +101,13 @@
 	failedAt time.Time
 	pause    time.Duration
 	until    time.Time // passed over until then
+	free     time.Time // no slot is free before
+	turns    map[int]turn
+}
+
+// turn is when a request of some priority would get a slot that was turned away.
+type turn struct {
+	at, due time.Time
 }
 
 // Board chooses backend servers by the load that comes with their answers and by own attempts that run. Its
@@ -109,9 +129,10 @@
 	return &Board{place: place, now: now, random: random, servers: map[ident.Addr]*standing{}}
 }
 
-// Pick chooses among the candidates and counts an attempt there, which End ends. left is the time to the
-// goal of the request, weight its work as a multiple of the mean of the service. It reports false if there is no candidate that is not paused.
-func (b *Board) Pick(list []Candidate, left time.Duration, weight float64) (Candidate, bool) {
+// Pick chooses among the candidates and counts an attempt there, which End ends. It passes over servers that are
+// paused, and those known to have no slot within the patience: a queue takes at least the time that was stated.
+// ok is false if there is no other; wait is then the shortest that is known, or zero.
+func (b *Board) Pick(list []Candidate, n Need) (c Candidate, wait time.Duration, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
@@ -121,17 +142,37 @@
 		if now.Before(s.until) {
 			continue
 		}
+		if w := s.wait(&n, now); w > n.Patience {
+			if wait == 0 || w < wait {
+				wait = w
+			}
+			continue
+		}
 		// Daemons that see the same reports would all choose the same server.
-		v := b.loss(s, &list[i], left, weight, now) + 0.02*b.random()
+		v := b.loss(s, &list[i], n.Left, n.Weight, now) + 0.02*b.random()
 		if best < 0 || v < lowest {
 			best, lowest = i, v
 		}
 	}
 	if best < 0 {
-		return Candidate{}, false
+		return Candidate{}, wait, false
 	}
 	b.at(list[best].Addr).mine++
-	return list[best], true
+	return list[best], 0, true
+}
+
+// wait returns the least time for which a request waits for a slot, by what the server last stated.
+func (s *standing) wait(n *Need, now time.Time) time.Duration {
+	if n.Patience == 0 {
+		return max(0, s.free.Sub(now))
+	}
+	w := time.Duration(0)
+	for p, t := range s.turns {
+		if p < n.Priority || p == n.Priority && !n.Due.Before(t.due) {
+			w = max(w, t.at.Sub(now))
+		}
+	}
+	return w
 }
 
 // loss is what a request is expected to lose at a server, in shares of its worth.
@@ -193,6 +234,13 @@
 	if r.Known {
 		s.report, s.known, s.reported = r.Report, true, now
 		s.others = max(0, float64(r.Report.Running+r.Report.Waiting-s.mine))
+		s.free = now.Add(r.Report.Drained)
+	}
+	if r.Turned != nil {
+		if s.turns == nil {
+			s.turns = map[int]turn{}
+		}
+		s.turns[r.Turned.Priority] = turn{at: now.Add(r.Turn), due: r.Turned.Due}
 	}
 	if r.Refused {
 		s.pause = min(longestPause, max(leastPause, 2*s.pause))
--- a/route/board_test.go
+++ b/route/board_test.go
@@ -50,7 +50,7 @@
 			now := time.Unix(1, 0)
 			b := boardAt(&now)
 			report(b, "here", tt.here)
-			c, ok := b.Pick(three(), goal, 1)
+			c, _, ok := b.Pick(three(), Need{Left: goal, Weight: 1, Patience: goal})
 			is.True(ok)
 			is.Equal(c.Addr, tt.want)
 		})
@@ -66,7 +66,7 @@
 	list := []Candidate{{Addr: "x", Place: nearest, Slots: 4}, {Addr: "y", Place: nearest, Slots: 4}}
 	got := map[ident.Addr]int{}
 	for range 20 {
-		c, ok := b.Pick(list, 300*time.Millisecond, 1)
+		c, _, ok := b.Pick(list, Need{Left: 300 * time.Millisecond, Weight: 1})
 		is.True(ok)
 		got[c.Addr]++
 	}
@@ -83,10 +83,10 @@
 		b.at("here").mine++
 		b.End("here", Result{Failed: true, Took: time.Millisecond})
 	}
-	c, _ := b.Pick(three(), 300*time.Millisecond, 1)
+	c, _, _ := b.Pick(three(), Need{Left: 300 * time.Millisecond, Weight: 1})
 	is.Equal(c.Addr, ident.Addr("near"))
 	now = now.Add(time.Minute)
-	c, _ = b.Pick(three(), 300*time.Millisecond, 1)
+	c, _, _ = b.Pick(three(), Need{Left: 300 * time.Millisecond, Weight: 1})
 	is.Equal(c.Addr, ident.Addr("here"))
 }
 
@@ -99,9 +99,47 @@
 	only := three()[:1]
 	b.at("here").mine++
 	b.End("here", Result{Refused: true, Failed: true})
-	_, ok := b.Pick(only, time.Second, 1)
+	_, _, ok := b.Pick(only, Need{Left: time.Second, Weight: 1})
 	is.True(!ok)
 	b.Forget("here")
-	_, ok = b.Pick(only, time.Second, 1)
+	_, _, ok = b.Pick(only, Need{Left: time.Second, Weight: 1})
 	is.True(ok)
 }
+
+// TestPickPassesOverFull guards against an overload in which each request asks every server for a slot, although
+// these have just stated that there is none: the questions alone then fill the daemons.
+func TestPickPassesOverFull(t *testing.T) {
+	const queue = 400 * time.Millisecond
+	start := time.Unix(1, 0)
+	full := Report{Running: 4, Waiting: 32, Slots: 4, Mean: 50 * time.Millisecond, Drained: queue}
+	tests := map[string]struct {
+		need  Need
+		after time.Duration
+		ok    bool
+	}{
+		"no patience":                {Need{}, 0, false},
+		"patience too short":         {Need{Patience: 300 * time.Millisecond, Priority: 1, Due: start}, 0, false},
+		"lower priority":             {Need{Patience: 300 * time.Millisecond, Priority: 2, Due: start}, 0, false},
+		"higher priority":            {Need{Patience: 300 * time.Millisecond, Due: start}, 0, true},
+		"due earlier":                {Need{Patience: 300 * time.Millisecond, Priority: 1, Due: start.Add(-time.Second)}, 0, true},
+		"patience longer":            {Need{Patience: 500 * time.Millisecond, Priority: 1, Due: start}, 0, true},
+		"no patience, has drained":   {Need{}, queue, true},
+		"patience, has drained some": {Need{Patience: 300 * time.Millisecond, Priority: 1, Due: start}, 100 * time.Millisecond, true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			now := start
+			b := boardAt(&now)
+			b.at("here").mine++
+			b.End("here", Result{Report: full, Known: true, Turned: &Need{Priority: 1, Due: start}, Turn: queue})
+			now = now.Add(tt.after)
+			tt.need.Left, tt.need.Weight = time.Second, 1
+			_, wait, ok := b.Pick(three()[:1], tt.need)
+			is.Equal(ok, tt.ok)
+			if !ok {
+				is.Equal(wait, queue-tt.after)
+			}
+		})
+	}
+}
