--- a/mesh/message.go
+++ b/mesh/message.go
@@ -59,15 +59,15 @@
 
 // notice tells another daemon what has changed. Absent parts say nothing.
 type notice struct {
-	_msgpack struct{}      `msgpack:",as_array"` //nolint:unused // read by msgpack
-	Self     *Peer         // the sender
-	Peers    []Peer        // others that the sender knows
-	Gone     []ident.Addr  // daemons whose entries the store no longer holds
-	Full     bool          // Peers are all whose entries the store holds
-	Version  ident.Version // of the configuration that the sender has
-	Config   []byte        // in the operators' encoding, compressed
-	Want     bool          // the sender asks for configuration and peers
-	Follow   bool          // the sender asks for them now and for all changes from now on
-	Fresh    bool          // the sender reads the store and has what it holds
-	Suspects []poison.Suspect
+	_msgpack struct{}         `msgpack:",as_array"` //nolint:unused // read by msgpack
+	Self     *Peer            // the sender
+	Peers    []Peer           // others that the sender knows
+	Gone     []ident.Addr     // daemons whose entries the store no longer holds
+	Full     bool             // Peers are all whose entries the store holds
+	Version  ident.Version    // of the configuration that the sender has
+	Config   []byte           // in the operators' encoding, compressed
+	Want     bool             // the sender asks for configuration and peers
+	Follow   bool             // the sender asks for them now and for all changes from now on
+	Fresh    bool             // the sender reads the store and has what it holds
+	Suspects []poison.Suspect // requests that were in flight when backend servers crashed
 }
