mesh: Take nothing from attempts whose caller has left, nor from refused crashers

Cause, found in the read-through: an attempt at the own VM's server that ended because the caller had left came back as refused without a wait, and the entry passed that server over for 0.2 to 1.6 s; attempts over a link did not. The refusal of a request that crashes servers did the same to every server that refused it. Ruled out: attempts that time out at the server (they end before the entry's context does).

--- a/mesh/visit.go
+++ b/mesh/visit.go
@@ -218,8 +218,8 @@
 // observed returns what an attempt says of its server.
 func (r *result) observed(ctx context.Context) route.Result {
 	switch {
-	case r.err != nil && ctx.Err() != nil:
-		return route.Result{} // given up here
+	case ctx.Err() != nil && (r.err != nil || r.reply.Outcome != answered):
+		return route.Result{} // given up here, which says nothing of the server
 	case r.err != nil:
 		return route.Result{Refused: true, Failed: true}
 	}
@@ -233,7 +233,7 @@
 		out.Failed = true
 	default:
 		out.Took = 0
-		out.Refused = r.reply.Wait == 0
+		out.Refused = r.reply.Wait == 0 && r.reply.Reason != refuse.Poisoned
 		if !r.offer && r.reply.Turn > 0 {
 			out.Turned, out.Turn = &r.need, r.reply.Turn
 		}
