mesh, admit, store, platform: One piece of code where the change had two

Cause, found in a read-through of the whole change: platform told a call that was not sent from a lost one with a copy of store's function; admit had two moving averages; a Node closed its links in two places; a daemon ranked the readers of its data centre three times in each look, ten times a second.

--- a/admit/duration.go
+++ b/admit/duration.go
@@ -4,18 +4,15 @@
 
 // duration is the moving average of the service time of a kind of work.
 type duration struct {
-	mean    float64 // seconds
-	samples int
-	last    time.Duration
+	average
+	last time.Duration
 }
 
 const durationWeight = 0.1
 
 func (d *duration) add(now, v time.Duration) {
-	d.samples++
 	d.last = now
-	w := max(durationWeight, 1/float64(d.samples))
-	d.mean += w * (v.Seconds() - d.mean)
+	d.average.add(v, durationWeight)
 }
 
 // expect returns the mean. It halves for each stale period without samples: an estimate that
--- a/admit/slots.go
+++ b/admit/slots.go
@@ -100,7 +100,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l := Level{
-		Running: s.running, Waiting: len(s.queue), Slots: s.limit, Mean: s.times.all.mean(), Closed: s.closed != nil,
+		Running: s.running, Waiting: len(s.queue), Slots: s.limit, Mean: s.times.all.expected(), Closed: s.closed != nil,
 	}
 	if s.limit > 0 && s.running >= s.limit {
 		l.Drained = s.drained()
@@ -169,7 +169,7 @@
 
 // wait returns the expected time until w gets a slot.
 func (s *Slots) wait(w *slotWaiter, now time.Time) time.Duration {
-	ahead := s.times.all.mean() // half of what runs is done on average, and one of them has to end
+	ahead := s.times.all.expected() // half of what runs is done on average, and one of them has to end
 	for _, x := range s.queue {
 		if x.before(w, now) {
 			ahead += x.cost
@@ -180,7 +180,7 @@
 
 // drained returns the expected time until the queue is empty.
 func (s *Slots) drained() time.Duration {
-	sum := s.times.all.mean()
+	sum := s.times.all.expected()
 	for _, x := range s.queue {
 		sum += x.cost
 	}
--- a/admit/times.go
+++ b/admit/times.go
@@ -15,20 +15,22 @@
 
 // average is a moving average of durations.
 type average struct {
-	value   float64 // seconds
+	mean    float64 // seconds
 	samples int
 }
 
-func (a *average) add(d time.Duration) {
+// add takes a sample, which has at least the weight in what follows.
+func (a *average) add(d time.Duration, weight float64) {
 	a.samples++
-	a.value += max(recentShare, 1/float64(a.samples)) * (d.Seconds() - a.value)
+	a.mean += max(weight, 1/float64(a.samples)) * (d.Seconds() - a.mean)
 }
 
-func (a *average) mean() time.Duration {
+// expected returns the mean, or what is assumed before the first sample.
+func (a *average) expected() time.Duration {
 	if a.samples == 0 {
 		return firstGuess
 	}
-	return time.Duration(a.value * float64(time.Second))
+	return time.Duration(a.mean * float64(time.Second))
 }
 
 // serviceTimes learns the service time of each route at one backend server.
@@ -43,13 +45,13 @@
 
 func (t *serviceTimes) of(route ident.RouteID) time.Duration {
 	if r := t.routes[route]; r != nil && r.samples >= learnAfter {
-		return r.mean()
+		return r.expected()
 	}
-	return t.all.mean()
+	return t.all.expected()
 }
 
 func (t *serviceTimes) add(route ident.RouteID, d time.Duration) {
-	t.all.add(d)
+	t.all.add(d, recentShare)
 	r := t.routes[route]
 	if r == nil {
 		if len(t.routes) >= maxRoutes {
@@ -58,5 +60,5 @@
 		r = &average{}
 		t.routes[route] = r
 	}
-	r.add(d)
+	r.add(d, recentShare)
 }
--- a/mesh/entry.go
+++ b/mesh/entry.go
@@ -89,7 +89,7 @@
 	offers   int
 	waits    time.Duration // shortest wait that a busy server stated
 	busy     int           // servers that were busy
-	spare    []ident.Addr  // busy servers, that with the shortest wait first
+	spare    ident.Addr    // the busy server that stated the shortest wait; empty: none
 	asked    bool          // asks a server although all are known to have queues
 	waited   bool          // was sent to wait for a slot although it misses its goal
 	sent     int           // attempts that reached a backend server
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -171,12 +171,16 @@
 func (n *Node) Close() {
 	n.leaveStore()
 	n.stop()
+	n.closeLinks()
+	n.wg.Wait()
+}
+
+func (n *Node) closeLinks() {
 	n.mu.Lock()
+	defer n.mu.Unlock()
 	for c := range n.conns {
 		c.Close()
 	}
-	n.mu.Unlock()
-	n.wg.Wait()
 }
 
 // unreachable stops requests to a backend server that accepts no connection, until it does again.
--- a/mesh/readers.go
+++ b/mesh/readers.go
@@ -91,9 +91,9 @@
 
 // dropAbsent forgets the other daemons whose entries the store does not hold.
 func (n *Node) dropAbsent(there map[ident.Addr]bool) {
-	for _, a := range n.roster.addrs() {
-		if !there[a] && a != n.d.Self {
-			n.roster.unstored(a)
+	for _, p := range n.roster.all(n.d.Self) {
+		if !there[p.Addr] {
+			n.roster.unstored(p.Addr)
 		}
 	}
 }
@@ -136,10 +136,12 @@
 		case <-n.ctx.Done():
 			return
 		case <-look.C:
-			for _, a := range n.readersOf() {
-				if a != n.d.Self && n.isFollower() {
-					go n.followReader(a)
-				}
+			list := n.readersOf()
+			if slices.Contains(list, n.d.Self) {
+				continue
+			}
+			for _, a := range list {
+				go n.followReader(a)
 			}
 		case <-vouch.C:
 			n.tellFollowers(&notice{Fresh: n.fresh(), Version: n.Version()})
--- a/mesh/rig_test.go
+++ b/mesh/rig_test.go
@@ -100,11 +100,7 @@
 func (n *rigNode) kill() {
 	_ = n.ln.Close()
 	n.stop()
-	n.mu.Lock()
-	for c := range n.conns {
-		c.Close()
-	}
-	n.mu.Unlock()
+	n.closeLinks()
 	n.wg.Wait()
 }
 
--- a/mesh/roster.go
+++ b/mesh/roster.go
@@ -76,17 +76,6 @@
 	}
 }
 
-// addrs returns the addresses whose peers the store holds.
-func (r *roster) addrs() []ident.Addr {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
-	out := make([]ident.Addr, 0, len(r.peers))
-	for a := range r.peers {
-		out = append(out, a)
-	}
-	return out
-}
-
 func (r *roster) get(addr ident.Addr) (Peer, bool) {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
--- a/mesh/storeloop.go
+++ b/mesh/storeloop.go
@@ -49,12 +49,12 @@
 		}
 		if err == nil {
 			failures = 0
-			n.storeState(true, nil)
+			n.storeState(nil)
 			continue
 		}
 		// What changed meanwhile may be gone from the history, and a lease may have ended.
 		failures++
-		n.storeState(false, err)
+		n.storeState(err)
 		if !n.pause(failures) {
 			return
 		}
@@ -119,8 +119,9 @@
 // freshMargin is how long the answer to a watch may come after its wait.
 const freshMargin = 500 * time.Millisecond
 
-// storeState logs that the store was lost or is back.
-func (n *Node) storeState(ok bool, err error) {
+// storeState takes the outcome of a call to the store, and logs that it was lost or is back.
+func (n *Node) storeState(err error) {
+	ok := err == nil
 	if ok {
 		n.reading.Store(true)
 		n.answered.Store(time.Now().UnixNano())
--- a/mesh/suspects.go
+++ b/mesh/suspects.go
@@ -51,13 +51,19 @@
 	return fingerprint(v.n.d.Caller(), v.route.ID, v.c.Method, v.c.URI, v.c.Body)
 }
 
+// checkCrasher returns the refusal of a request that was in flight at several crashes. The fingerprint is computed
+// only once there has been a crash.
+func (n *Node) checkCrasher(f func() poison.Fingerprint) error {
+	if n.suspects.Empty() {
+		return nil
+	}
+	return n.suspects.Check(f())
+}
+
 // poisoned reports whether the call is like one that was in flight at several crashes. It is asked before each
 // attempt, since the attempt before may have been the last of these.
 func (v *visit) poisoned() bool {
-	if v.n.suspects.Empty() {
-		return false
-	}
-	err := v.n.suspects.Check(v.fingerprint())
+	err := v.n.checkCrasher(v.fingerprint)
 	if err == nil {
 		return false
 	}
--- a/mesh/target.go
+++ b/mesh/target.go
@@ -59,10 +59,8 @@
 	case s == nil || s.Service != r.Service:
 		return bounce(refuse.NotRun(refuse.NoServer, "no backend server of "+string(r.Service)+" here"))
 	}
-	if !n.suspects.Empty() {
-		if err := n.suspects.Check(r.fingerprint()); err != nil {
-			return bounce(err)
-		}
+	if err := n.checkCrasher(r.fingerprint); err != nil {
+		return bounce(err)
 	}
 	release, err := n.slots.Enter(ctx, admit.Ask{
 		Route: r.Route, Priority: r.Priority, Goal: began.Add(r.Goal), Deadline: began.Add(r.Left), Patience: r.Patience,
--- a/store/http.go
+++ b/store/http.go
@@ -240,7 +240,7 @@
 	r.Header.Set("Content-Type", "application/json")
 	res, err := d.client.Do(r)
 	if err != nil {
-		return nil, sendError(path, err)
+		return nil, SendError(path, err)
 	}
 	if res.StatusCode == http.StatusOK {
 		return res, nil
@@ -253,9 +253,9 @@
 	return nil, e.asError(path)
 }
 
-// sendError returns ErrUnavailable if no connection was made, so that the store cannot have
-// received the request, and else ErrUnknown.
-func sendError(path string, err error) error {
+// SendError returns why a call of path by HTTP has no answer: ErrUnavailable if no connection was made, so
+// that the store cannot have received the request, and else ErrUnknown.
+func SendError(path string, err error) error {
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
 		return fmt.Errorf("%w: %s: %w", ErrUnavailable, path, err)
--- a/table/table.go
+++ b/table/table.go
@@ -89,12 +89,6 @@
 // Limits returns the limits on callers.
 func (t *Table) Limits() Limits { return t.spec.Limits }
 
-// Service returns the service id.
-func (t *Table) Service(id ident.ServiceID) (Service, bool) {
-	s, ok := t.services[id]
-	return s, ok
-}
-
 // Find returns the route with the longest prefix that begins path, of the routes of host.
 func (t *Table) Find(host, path string) (*Choice, bool) {
 	for _, c := range t.hosts[canonicalHost(host)] {
