origin: Bound the answers of backend servers

Cause: an answer without end, in a head or in interim answers, was read into memory until the request's deadline, and closing an endless body read on to its end. A repeated answer to the previous request was taken as a fault, so that the answer to the next request was lost.

A repeated answer to the previous request is skipped.

--- a/mesh/config.go
+++ b/mesh/config.go
@@ -17,6 +17,8 @@
 	Retries retry.SharedBudgetLimits
 	// MaxBody is the maximum body size of a request or response, in bytes.
 	MaxBody int64
+	// BodyMemory limits the memory of all response bodies that are being read, in bytes.
+	BodyMemory int64
 }
 
 // DefaultConfig returns the default settings.
@@ -26,6 +28,7 @@
 		Lease:            4 * time.Second,
 		Retries:          retry.SharedBudgetLimits{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
 		MaxBody:          7 << 20,
+		BodyMemory:       64 << 20,
 	}
 }
 
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -56,6 +56,7 @@
 	retries     *retry.SharedBudget
 	latencies   latencyStats
 	noWait      noWaitStats
+	bodies      *origin.BodyBudget
 	crashes     crashDetector
 	// suspects holds requests that were in flight when backend servers crashed.
 	suspects *poison.Suspects
@@ -92,8 +93,9 @@
 		d: d, incarnation: ident.NewIncarnation(d.Now()), peers: newPeerList(),
 		board: route.NewLoadTable(d.Place, d.Now, d.Random), slots: admit.NewSlots(d.Now),
 		latencies: newLatencyStats(), suspects: poison.New(poison.Deps{Log: d.Log, Stats: d.Stats}),
-		links: links{open: map[ident.Addr]*pendingLink{}},
-		conns: map[*link.Conn]struct{}{}, entryOutdated: make(chan struct{}, 1), newerVersion: make(chan struct{}, 1),
+		bodies: origin.NewBodyBudget(d.Config.BodyMemory),
+		links:  links{open: map[ident.Addr]*pendingLink{}},
+		conns:  map[*link.Conn]struct{}{}, entryOutdated: make(chan struct{}, 1), newerVersion: make(chan struct{}, 1),
 	}
 	n.readers.init()
 	n.retries = retry.NewSharedBudget(d.Config.Retries, n.peers.daemons, d.Now)
--- a/mesh/server.go
+++ b/mesh/server.go
@@ -103,7 +103,7 @@
 }
 
 func (n *Node) newClient(addr string) *origin.Client {
-	return origin.New(origin.Deps{Addr: addr, Names: n.d.Names, Dial: n.d.Dial})
+	return origin.New(origin.Deps{Addr: addr, Names: n.d.Names, Dial: n.d.Dial, Bodies: n.bodies})
 }
 
 // currentServer returns the backend server beside the daemon; nil if none is known.
--- a/mesh/target.go
+++ b/mesh/target.go
@@ -106,6 +106,9 @@
 // classifyFailure returns the reply for a request that got no answer from the backend server.
 func (n *Node) classifyFailure(ctx context.Context, s *localServer, r *request, err error, d time.Duration) *reply {
 	n.d.Log.Emit(event.TargetExchangeFailed, "Call", r.ID, "Server", s.ID, "After", d, "Error", err)
+	if errors.Is(err, origin.ErrInvalidAnswer) {
+		n.d.Stats.Inc("Target.InvalidAnswer")
+	}
 	if errors.Is(err, origin.ErrRefused) {
 		n.markUnreachable(s)
 	}
--- a/origin/client.go
+++ b/origin/client.go
@@ -30,7 +30,9 @@
 type Deps struct {
 	Addr  string
 	Names Names
-	Dial  func(ctx context.Context, network, addr string) (net.Conn, error) // nil: TCP
+	// Bodies limits the memory of the bodies that are being read; nil: no limit.
+	Bodies *BodyBudget
+	Dial   func(ctx context.Context, network, addr string) (net.Conn, error) // nil: TCP
 }
 
 // Client sends requests to one backend server. Its methods are safe for concurrent use.
@@ -87,7 +89,7 @@
 		}
 		return nil, fmt.Errorf("%w: %w: %w", ErrNotSent, ErrRefused, err)
 	}
-	return newConn(nc), nil
+	return newConn(nc, c.d.Bodies), nil
 }
 
 // takeIdle returns an idle connection that was used within limit; nil if there is none.
--- a/origin/conn.go
+++ b/origin/conn.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -18,15 +17,19 @@
 // conn is one connection to a backend server.
 type conn struct {
 	nc          net.Conn
+	head        *headLimiter // between nc and r
 	r           *bufio.Reader
+	bodies      *BodyBudget
+	previous    string        // id of the previous request
 	idleSince   time.Time     // when it became idle
 	idleTimeout time.Duration // how long it may stay idle
 	idleRead    chan error    // result of the read that is pending while the connection is idle
 	once        sync.Once
 }
 
-func newConn(nc net.Conn) *conn {
-	return &conn{nc: nc, r: bufio.NewReaderSize(nc, 4096), idleTimeout: defaultIdleTimeout}
+func newConn(nc net.Conn, bodies *BodyBudget) *conn {
+	head := &headLimiter{r: nc}
+	return &conn{nc: nc, head: head, r: bufio.NewReaderSize(head, 4096), bodies: bodies, idleTimeout: defaultIdleTimeout}
 }
 
 func (c *conn) close() { c.once.Do(func() { _ = c.nc.Close() }) }
@@ -68,22 +71,52 @@
 	return c.readResponse(r, n)
 }
 
+// readResponse reads the answer to r. A repeated answer to the previous request is skipped: the answer to r
+// follows it.
 func (c *conn) readResponse(r *Request, n Names) (*Response, error) {
-	var hr *http.Response
-	for {
-		var err error
-		if hr, err = http.ReadResponse(c.r, &http.Request{Method: r.Method}); err != nil {
-			return nil, fmt.Errorf("%w: %w", ErrLost, err)
+	for stale := 0; ; stale++ {
+		hr, body, err := c.readAnswer(r)
+		if err != nil {
+			return nil, err
 		}
-		if hr.StatusCode >= 200 {
-			break
+		if id := hr.Header.Get(n.Request); id != "" && id != r.ID && id == c.previous && stale < maxStaleAnswers && !hr.Close {
+			continue
 		}
+		c.previous = r.ID
+		return newResponse(r, hr, body, n)
 	}
-	defer hr.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(hr.Body, MaxResponseBytes+1))
-	if err != nil {
-		return nil, fmt.Errorf("%w: body: %w", ErrLost, err)
+}
+
+// readAnswer reads the next final answer with its body.
+func (c *conn) readAnswer(r *Request) (*http.Response, []byte, error) {
+	for range maxInterimAnswers + 1 {
+		c.head.limit(maxHeadBytes)
+		hr, err := http.ReadResponse(c.r, &http.Request{Method: r.Method})
+		c.head.lift()
+		if errors.Is(err, errHeadTooLong) {
+			return nil, nil, fmt.Errorf("%w: %w: %w", ErrLost, ErrInvalidAnswer, err)
+		}
+		if err != nil {
+			return nil, nil, fmt.Errorf("%w: %w", ErrLost, err)
+		}
+		if hr.StatusCode < 200 {
+			continue
+		}
+		// The body is not closed: Close would read an endless one to its end. It holds no resources besides c.
+		body, err := readBody(hr.Body, hr.ContentLength, c.bodies)
+		if errors.Is(err, errBodyTooLong) || errors.Is(err, errNoBodyMemory) {
+			err = fmt.Errorf("%w: %w", ErrInvalidAnswer, err)
+		}
+		if err != nil {
+			return nil, nil, fmt.Errorf("%w: body: %w", ErrLost, err)
+		}
+		return hr, body, nil
 	}
+	return nil, nil, fmt.Errorf("%w: %w: %w", ErrLost, ErrInvalidAnswer, errTooManyInterim)
+}
+
+// newResponse returns the response of r, or an error if it cannot be the complete answer to r.
+func newResponse(r *Request, hr *http.Response, body []byte, n Names) (*Response, error) {
 	resp := &Response{
 		Status: hr.StatusCode, Header: hr.Header, Body: body,
 		Stamped:     hr.Header.Get(n.Stamp) != "",
@@ -112,8 +145,6 @@
 func checkResponse(r *Request, resp *Response, n Names) error {
 	id := resp.Header.Get(n.Request)
 	switch {
-	case len(resp.Body) > MaxResponseBytes:
-		return fmt.Errorf("%w: %w: body above %d bytes", ErrLost, ErrInvalidAnswer, MaxResponseBytes)
 	case id != "" && id != r.ID:
 		return fmt.Errorf("%w: %w: answer of request %s", ErrLost, ErrInvalidAnswer, id)
 	case resp.NotRun:
