mesh: Read the store with two daemons, and pass deltas on

Change: two daemons of the region nearest to the store read it (roots), two of each data centre follow them and pass changes on (relays), the others follow these. A configuration is passed on as a zstd delta against the version before. The store's revisions order entries, so that daemons that follow each other pass nothing on twice. Of several configurations in a watch only the last is used. After an outage changes are read from the last revision, not the whole state. A daemon that the store lost is kept for 3 s. A starting daemon reads the peers with a stale read and writes its entry once, with the first heartbeat; leases last 12 s instead of 4 s.

Ruled out: processor time of the daemons (event 820 in the region of the store within 0.5 s); history of the store.

--- a/link/conn.go
+++ b/link/conn.go
@@ -183,8 +183,8 @@
 	}()
 }
 
-// Notify queues a notice. It is lost if the connection is closed or its queue is full.
-func (c *Conn) Notify(body []byte) { c.enqueue(frame{Kind: kindNotice, Body: body}, 0) }
+// Notify queues a notice, and reports false if it is lost because the connection is closed or its queue is full.
+func (c *Conn) Notify(body []byte) bool { return c.enqueue(frame{Kind: kindNotice, Body: body}, 0) }
 
 // enqueue queues f for writing. It reports false if the connection is closed, its queue is full or f is too
 // large.
--- a/link/silence.go
+++ b/link/silence.go
@@ -10,6 +10,13 @@
 	return c.silent
 }
 
+// MarkSilent marks the connection as silent, for a caller that expected notices over it.
+func (c *Conn) MarkSilent() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.silent = true
+}
+
 // Waiting returns the number of calls waiting for an answer.
 func (c *Conn) Waiting() int {
 	c.mu.Lock()
--- a/mesh/cluster_test.go
+++ b/mesh/cluster_test.go
@@ -82,6 +82,7 @@
 	sc.Budget, sc.Budgets = store.Budget{Reads: 1000, ReadBurst: 1000, Writes: 1000, WriteBurst: 1000}, nil
 	sc.Attempts, sc.Timeout, sc.OpenFor = 1, 300*time.Millisecond, 50*time.Millisecond
 	cfg := DefaultConfig()
+	cfg.BootstrapWait, cfg.RegisterWait = 500*time.Millisecond, 0
 	cfg.Retries = retry.SharedBudgetLimits{Ratio: 1, Slack: 100, Window: time.Second}
 	n.Node = New(Deps{
 		Self: ident.Addr(n.addr), Place: n.place, Caller: func() ident.ServiceID { return n.service }, Config: cfg,
--- a/mesh/config.go
+++ b/mesh/config.go
@@ -13,6 +13,12 @@
 	StoreLossTimeout time.Duration
 	// Lease is how long the store keeps the entry of a daemon that no longer renews it.
 	Lease time.Duration
+	// BootstrapWait is how long a starting daemon waits for the state from another one before it reads the whole
+	// state from the store.
+	BootstrapWait time.Duration
+	// RegisterWait is how long a starting daemon waits for the first heartbeat of its backend server before it
+	// writes its entry, so that one write is enough.
+	RegisterWait time.Duration
 	// Retries limits the retries of all daemons together.
 	Retries retry.SharedBudgetLimits
 	// MaxBody is the maximum body size of a request or response, in bytes.
@@ -25,7 +31,9 @@
 func DefaultConfig() Config {
 	return Config{
 		StoreLossTimeout: 3 * time.Second,
-		Lease:            4 * time.Second,
+		Lease:            12 * time.Second,
+		BootstrapWait:    2500 * time.Millisecond,
+		RegisterWait:     1600 * time.Millisecond,
 		Retries:          retry.SharedBudgetLimits{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
 		MaxBody:          7 << 20,
 		BodyMemory:       64 << 20,
--- a/mesh/gossip.go
+++ b/mesh/gossip.go
@@ -9,20 +9,20 @@
 	"github.com/marjoramcroft/marjoramcroft/wire"
 )
 
-// sendHello sends this daemon's own state and configuration version over a new link. A daemon without a
-// configuration also requests one, because the store may be unavailable.
+// sendHello sends this daemon's own state and configuration version over a new link.
 func (n *Node) sendHello(c *link.Conn) {
 	self := n.self()
-	n.notify(c, &notice{Self: &self, Version: n.Version(), WantState: n.Version() == 0})
+	n.notify(c, &notice{Self: &self, Version: n.Version()})
 }
 
-func (n *Node) notify(c *link.Conn, m *notice) {
+// notify sends m over c, and reports whether it could be queued.
+func (n *Node) notify(c *link.Conn, m *notice) bool {
 	b, err := wire.Encode(m)
 	if err != nil {
 		n.d.Log.Emit(event.CallUnencodable, "Error", err)
-		return
+		return false
 	}
-	c.Notify(b)
+	return c.Notify(b)
 }
 
 // handleNotice applies a notice from another daemon.
@@ -35,25 +35,13 @@
 	if m.Self != nil && m.Self.Addr != n.d.Self {
 		n.updatePeer(*m.Self, true)
 	}
-	for _, p := range m.Peers {
-		if p.Addr != n.d.Self {
-			n.updatePeer(p, false)
-			n.peers.setStored(p.Addr, relayedRevision)
-		}
-	}
-	if len(m.Config) > 0 && m.Version > n.Version() {
-		raw, err := wire.Decompress(m.Config)
-		if err != nil {
-			n.d.Log.Emit(event.NoticeUnreadable, "From", c.RemoteAddr(), "Error", err)
-			return
-		}
-		n.adopt(raw, "Peer", c.RemoteAddr().String())
-	}
+	n.applyState(c, &m)
 	n.suspects.Merge(m.Suspects)
-	n.readers.handleNotice(n, c, &m)
 	switch {
 	case m.Subscribe:
 		n.addFollower(c, m.Version)
+	case m.Unsubscribe:
+		n.removeFollower(c)
 	case m.WantState:
 		n.sendState(c, m.Version)
 	case m.Version > n.Version():
@@ -61,8 +49,77 @@
 	}
 }
 
-// relayedRevision is the revision recorded for a store entry that was relayed by another daemon.
-const relayedRevision = 1
+// applyState applies the part of a notice that originates from the store, and passes on to the followers what is
+// newer than the state so far. The store's revisions order all entries, so nothing is passed on twice, even among
+// daemons that follow each other.
+func (n *Node) applyState(c *link.Conn, m *notice) {
+	followed := n.subs.received(c)
+	n.stateMu.Lock()
+	defer n.stateMu.Unlock()
+	var out notice
+	present := make(map[ident.Addr]bool, len(m.Peers))
+	for _, p := range m.Peers {
+		present[p.Peer.Addr] = p.Revision > 0
+		if p.Peer.Addr == n.d.Self {
+			continue
+		}
+		if n.applyEntry(p.Peer, p.Revision) {
+			out.Peers = append(out.Peers, p)
+		}
+	}
+	for _, g := range m.Gone {
+		if n.handleRemoval(g.Addr, g.Revision) {
+			out.Gone = append(out.Gone, g)
+		}
+	}
+	if m.Full {
+		out.Gone = append(out.Gone, n.peers.removeAbsent(n.d.Self, present, m.AsOf)...)
+	}
+	n.applyConfig(c, m)
+	if followed {
+		n.confirmState(c, m, &out)
+	}
+	if len(out.Peers) > 0 || len(out.Gone) > 0 {
+		out.Version, out.AsOf = n.Version(), n.asOf
+		n.notifyFollowers(&out)
+	}
+}
+
+// applyEntry applies the state of a daemon whose entry in the store has this revision, and reports whether the
+// revision is newer than what is known of the entry.
+func (n *Node) applyEntry(p Peer, revision int64) bool {
+	if revision > 0 && n.peers.isRemoved(p.Addr, revision) {
+		return false
+	}
+	n.updatePeer(p, false)
+	return n.peers.setStored(p.Addr, revision)
+}
+
+// confirmState records how current the state is that a parent sent. The first complete state is passed on in out.
+func (n *Node) confirmState(c *link.Conn, m, out *notice) {
+	if m.Full {
+		n.subs.markFull(c)
+	}
+	if m.Full && n.asOf == 0 {
+		out.Full, out.Peers = true, n.peers.all("")
+	}
+	if n.subs.isFull(c) {
+		n.asOf = max(n.asOf, m.AsOf)
+		if m.UpToDate {
+			n.subs.confirm(m.Age)
+		}
+	}
+}
+
+// handleRemoval handles that the store does not hold the entry of the daemon at a at revision, and reports whether
+// that is newer than what is known of the entry.
+func (n *Node) handleRemoval(a ident.Addr, revision int64) bool {
+	if a == n.d.Self {
+		n.markEntryMissing(revision)
+		return false
+	}
+	return n.peers.clearStored(a, revision)
+}
 
 // updatePeer merges the state of a peer. A new backend process resets the server's load statistics.
 func (n *Node) updatePeer(p Peer, direct bool) {
@@ -86,21 +143,27 @@
 // sendState sends all peers, and the configuration if the receiver's version is older.
 func (n *Node) sendState(c *link.Conn, has ident.Version) {
 	self := n.self()
-	m := &notice{Self: &self, Peers: n.peers.all(n.d.Self), Full: n.upToDate(), UpToDate: n.upToDate(), Version: n.Version()}
-	if has < m.Version {
-		m.Config = n.compressedConfig()
+	n.stateMu.Lock()
+	defer n.stateMu.Unlock()
+	m := n.confirmation()
+	m.Self, m.Peers, m.Full, m.AsOf = &self, n.peers.all(""), n.asOf > 0, n.asOf
+	if doc := n.document(); doc != nil && has < doc.version {
+		m.Version, m.Config = doc.version, doc.compress()
 	}
 	n.notify(c, m)
 }
 
-// compressedConfig returns the compressed configuration in force. It is compressed once and cached.
-func (n *Node) compressedConfig() []byte {
+// requestState requests the state of another daemon, because neither the store nor a parent has delivered it.
+func (n *Node) requestState() {
+	if n.subs.age() < followerPatience {
+		return
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.compressed == nil && n.raw != nil {
-		n.compressed = wire.Compress(n.raw)
+	for c := range n.conns { // map iteration order selects a random one
+		n.notify(c, &notice{Version: n.Version(), WantState: true})
+		return
 	}
-	return n.compressed
 }
 
 // configRequestDelay is how long a daemon waits for the store to deliver a configuration that another daemon
@@ -153,7 +216,7 @@
 func (n *Node) self() Peer {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	p := Peer{Addr: n.d.Self, Place: n.d.Place, Life: n.incarnation, Seq: n.seq, Stopping: n.stopping.Load()}
+	p := Peer{Addr: n.d.Self, Place: n.d.Place, Life: n.incarnation, Seq: n.seq, Stopping: n.stopping.Load(), StoreLatency: n.storeLatency}
 	if n.server != nil {
 		s := n.server.Server
 		p.Server = &s
--- a/mesh/links.go
+++ b/mesh/links.go
@@ -118,7 +118,7 @@
 	}
 	n.links.mu.Unlock()
 	if last {
-		n.peers.clearLinked(addr, n.storeReachable.Load())
+		n.peers.clearLinked(addr)
 		n.reconnect(addr)
 	}
 }
@@ -162,7 +162,7 @@
 	n.mu.Lock()
 	delete(n.conns, c)
 	n.mu.Unlock()
-	n.readers.removeLink(c)
+	n.subs.removeLink(c)
 }
 
 // ServeLinks accepts links from other daemons until the listener is closed.
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -57,17 +57,36 @@
 	Version  ident.Version
 }
 
+// storedPeer is a daemon with the revision of its entry in the store; zero: it has none.
+type storedPeer struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
+	Peer     Peer
+	Revision int64
+}
+
+// removedPeer is a daemon whose entry was absent from the store at Revision.
+type removedPeer struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
+	Addr     ident.Addr
+	Revision int64
+}
+
 // notice sends state changes to another daemon. Absent fields carry no information.
 type notice struct {
 	_msgpack  struct{}         `msgpack:",as_array"` //nolint:unused // read by msgpack
 	Self      *Peer            // the sender
-	Peers     []Peer           // other daemons known to the sender
-	Gone      []ident.Addr     // daemons whose entries were removed from the store
-	Full      bool             // Peers is the complete list of the store's entries
+	Peers     []storedPeer     // daemons known to the sender
+	Gone      []removedPeer    // daemons whose entries were removed from the store
+	Full      bool             // Peers has all entries that the store had at the revision AsOf
 	Version   ident.Version    // configuration version of the sender
-	Config    []byte           // in the operators' encoding, compressed
+	Config    []byte           // that version in the operators' encoding, compressed
 	WantState bool             // the sender requests the configuration and peers
 	Subscribe bool             // the sender requests them and all later changes
-	UpToDate  bool             // the sender reads the store and is up to date with it
+	UpToDate  bool             // the sender's state was that of the store Age ago
 	Suspects  []poison.Suspect // requests in flight when backend servers crashed
+	// Base is the version against which Config is compressed; zero: none, Config is complete.
+	Base        ident.Version
+	Age         time.Duration
+	AsOf        int64 // revision of the store up to which the sender has all entries
+	Unsubscribe bool  // the sender needs no further changes
 }
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -61,7 +61,11 @@
 	// suspects holds requests that were in flight when backend servers crashed.
 	suspects *poison.Suspects
 	links    links
-	readers  readers
+	subs     *subscriptions
+
+	configMu sync.Mutex // held while a configuration is adopted and passed on
+	stateMu  sync.Mutex // held while store entries are applied and passed on
+	asOf     int64      // revision of the store up to which all entries are known; zero: not yet. Guarded by stateMu
 
 	stopping             atomic.Bool
 	storeReachable       atomic.Bool   // the last call to the store succeeded
@@ -75,13 +79,14 @@
 	stop                 context.CancelFunc
 	wg                   sync.WaitGroup
 
-	mu         sync.Mutex
-	server     *localServer // beside the daemon; nil: none is known. Replaced, never modified.
-	seq        int64
-	raw        []byte // the configuration in force, in the operators' encoding
-	compressed []byte // raw compressed; nil: not compressed yet
-	conns      map[*link.Conn]struct{}
-	entry      ownEntry
+	mu     sync.Mutex
+	server *localServer // beside the daemon; nil: none is known. Replaced, never modified.
+	seq    int64
+	doc    *document // the configuration in force; nil: none
+	conns  map[*link.Conn]struct{}
+	entry  ownEntry
+	// storeLatency is the shortest call to the store so far; zero: none has succeeded.
+	storeLatency time.Duration
 }
 
 // New returns a Node without configuration or peers. Call Start to run it.
@@ -95,9 +100,9 @@
 		latencies: newLatencyStats(), suspects: poison.New(poison.Deps{Log: d.Log, Stats: d.Stats}),
 		bodies: origin.NewBodyBudget(d.Config.BodyMemory),
 		links:  links{open: map[ident.Addr]*pendingLink{}},
+		subs:   newSubscriptions(),
 		conns:  map[*link.Conn]struct{}{}, entryOutdated: make(chan struct{}, 1), newerVersion: make(chan struct{}, 1),
 	}
-	n.readers.init()
 	n.retries = retry.NewSharedBudget(d.Config.Retries, n.peers.daemons, d.Now)
 	n.ctx, n.stop = context.WithCancel(context.Background())
 	return n
@@ -126,30 +131,6 @@
 // Ready reports whether callers can send requests to this daemon.
 func (n *Node) Ready() bool { return n.table.Load() != nil && !n.stopping.Load() }
 
-// adopt puts a configuration into force if it is newer than the current one.
-func (n *Node) adopt(raw []byte, from, source string) {
-	spec, err := n.d.Decode(raw)
-	if err != nil {
-		n.d.Log.Emit(event.ConfigInvalid, "From", from, "Source", source, "Error", err)
-		return
-	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if spec.Version <= n.Version() {
-		return
-	}
-	t, err := table.New(spec)
-	if err != nil {
-		n.d.Log.Emit(event.ConfigInvalid, "From", from, "Source", source, "Error", err)
-		return
-	}
-	old := n.Version()
-	n.raw, n.compressed = raw, nil
-	n.table.Store(t)
-	n.d.Stats.Gauge("Config.Version", int64(spec.Version))
-	n.d.Log.Emit(event.ConfigInForce, "Version", spec.Version, "Before", old, "Routes", len(spec.Routes), "From", from, "Source", source)
-}
-
 // Drain tells the other daemons that this one is stopping, so that they send it no further requests. Calls
 // from callers on the VM are still served. Drain returns when no request is running at the backend server, or
 // when ctx is done.
--- a/mesh/peer.go
+++ b/mesh/peer.go
@@ -35,6 +35,8 @@
 	Seq      int64
 	Stopping bool
 	Server   *Server // nil: none is known
+	// StoreLatency is the shortest call to the store that the daemon saw before it wrote its entry; zero: none.
+	StoreLatency time.Duration
 }
 
 // newer reports whether p is a later state than q of the daemon at the same address.
--- a/mesh/peerlist.go
+++ b/mesh/peerlist.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/marjoramcroft/marjoramcroft/ident"
@@ -12,7 +13,10 @@
 type peerList struct {
 	mu       sync.RWMutex
 	peers    map[ident.Addr]*peerEntry
-	maxKnown int // highest number of daemons known at one time
+	removed  map[ident.Addr]int64 // revisions of the store at which entries were absent
+	maxKnown int                  // highest number of daemons known at one time
+	// generation changes whenever a peer is added, removed or changed.
+	generation atomic.Uint64
 }
 
 // peerEntry is a peer and where it is known from. It is removed when neither the store nor a link has it.
@@ -20,9 +24,13 @@
 	Peer
 	revision int64 // of its key in the store; zero: not in the store
 	linked   bool  // a link to it is open
+	// missingSince is when it was last known to the store or a link; zero: it is.
+	missingSince time.Time
 }
 
-func newPeerList() *peerList { return &peerList{peers: map[ident.Addr]*peerEntry{}} }
+func newPeerList() *peerList {
+	return &peerList{peers: map[ident.Addr]*peerEntry{}, removed: map[ident.Addr]int64{}}
+}
 
 // merge updates a peer if p is newer than the known state, and reports whether it did. direct means that the
 // peer sent its state itself over a link; this overrides a stored entry of another incarnation.
@@ -31,48 +39,116 @@
 	defer r.mu.Unlock()
 	l := r.peers[p.Addr]
 	if l == nil {
-		r.peers[p.Addr] = &peerEntry{Peer: p, linked: direct}
+		l = &peerEntry{Peer: p, linked: direct}
+		l.updateMissing(time.Now())
+		r.peers[p.Addr] = l
 		r.maxKnown = max(r.maxKnown, len(r.peers))
+		r.generation.Add(1)
 		return true
 	}
 	l.linked = l.linked || direct
+	l.updateMissing(time.Now())
 	if !p.newer(&l.Peer) && (!direct || p.Life == l.Life) {
 		return false
 	}
 	l.Peer = p
+	r.generation.Add(1)
 	return true
 }
 
-// setStored records that the store holds the entry of the peer at addr at revision.
-func (r *peerList) setStored(addr ident.Addr, revision int64) {
+// setStored records that the store holds the entry of the peer at addr at revision, and reports whether that is
+// newer than what is known of the entry.
+func (r *peerList) setStored(addr ident.Addr, revision int64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if l := r.peers[addr]; l != nil {
-		l.revision = revision
+	l := r.peers[addr]
+	if l == nil || revision <= l.revision || revision <= r.removed[addr] {
+		return false
 	}
+	l.revision = revision
+	l.updateMissing(time.Now())
+	delete(r.removed, addr)
+	return true
 }
 
-// clearStored records that the store no longer holds the peer at addr. A peer without a link is removed.
-func (r *peerList) clearStored(addr ident.Addr) {
+// clearStored records that the store does not hold the peer at addr at revision, and reports whether that is newer
+// than what is known of the entry.
+func (r *peerList) clearStored(addr ident.Addr, revision int64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if l := r.peers[addr]; l != nil {
-		l.revision = 0
-		if !l.linked {
-			delete(r.peers, addr)
+	l := r.peers[addr]
+	if l == nil || l.revision == 0 || revision < l.revision {
+		return false
+	}
+	l.revision = 0
+	l.updateMissing(time.Now())
+	r.setRemoved(addr, revision)
+	return true
+}
+
+// isRemoved reports whether the entry of addr was absent from the store at a later revision.
+func (r *peerList) isRemoved(addr ident.Addr, revision int64) bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return revision <= r.removed[addr]
+}
+
+// maxRemoved limits the removed entries that are remembered. When it is exceeded, all are discarded; a notice that
+// was overtaken could then restore one of them until the next full state.
+const maxRemoved = 16384
+
+// setRemoved remembers the revision at which an entry was absent. The caller holds r.mu.
+func (r *peerList) setRemoved(addr ident.Addr, revision int64) {
+	if len(r.removed) >= maxRemoved {
+		clear(r.removed)
+	}
+	r.removed[addr] = revision
+}
+
+// removeAbsent clears the entries that the store does not hold at revision, and returns them.
+func (r *peerList) removeAbsent(self ident.Addr, present map[ident.Addr]bool, revision int64) []removedPeer {
+	var gone []removedPeer
+	for _, p := range r.all(self) {
+		if a := p.Peer.Addr; !present[a] && r.clearStored(a, revision) {
+			gone = append(gone, removedPeer{Addr: a, Revision: revision})
+		}
+	}
+	return gone
+}
+
+// missingTime is how long a daemon is kept that neither the store nor a link has. The store may lose all entries in
+// an outage; they are back within two seconds after it.
+const missingTime = 3 * time.Second
+
+// updateMissing records whether the peer is missing at now.
+func (l *peerEntry) updateMissing(now time.Time) {
+	switch missing := l.revision == 0 && !l.linked; {
+	case !missing:
+		l.missingSince = time.Time{}
+	case l.missingSince.IsZero():
+		l.missingSince = now
+	}
+}
+
+// removeMissing removes the peers that have been missing for missingTime.
+func (r *peerList) removeMissing(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for a, l := range r.peers {
+		if !l.missingSince.IsZero() && now.Sub(l.missingSince) > missingTime {
+			delete(r.peers, a)
+			r.generation.Add(1)
 		}
 	}
 }
 
 // clearLinked records that the last link to addr was closed.
-func (r *peerList) clearLinked(addr ident.Addr, storeCurrent bool) {
+func (r *peerList) clearLinked(addr ident.Addr) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if l := r.peers[addr]; l != nil {
 		l.linked = false
-		if l.revision == 0 && storeCurrent {
-			delete(r.peers, addr)
-		}
+		l.updateMissing(time.Now())
 	}
 }
 
@@ -87,18 +163,29 @@
 }
 
 // all returns all peers except the one at self.
-func (r *peerList) all(self ident.Addr) []Peer {
+func (r *peerList) all(self ident.Addr) []storedPeer {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	out := make([]Peer, 0, len(r.peers))
+	out := make([]storedPeer, 0, len(r.peers))
 	for a, l := range r.peers {
 		if a != self {
-			out = append(out, l.Peer)
+			out = append(out, storedPeer{Peer: l.Peer, Revision: l.revision})
 		}
 	}
 	return out
 }
 
+// list returns all peers.
+func (r *peerList) list() []Peer {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	out := make([]Peer, 0, len(r.peers))
+	for _, l := range r.peers {
+		out = append(out, l.Peer)
+	}
+	return out
+}
+
 // daemons returns the highest number of daemons known at one time, which divide the shared limits.
 func (r *peerList) daemons() int {
 	r.mu.RLock()
--- a/mesh/register.go
+++ b/mesh/register.go
@@ -44,12 +44,16 @@
 	return true
 }
 
-// markEntryMissing records that the store does not hold the daemon's own entry.
-func (n *Node) markEntryMissing() {
+// markEntryMissing records that the store did not hold the daemon's own entry at revision.
+func (n *Node) markEntryMissing(revision int64) {
 	if n.stopping.Load() {
 		return
 	}
 	n.mu.Lock()
+	if n.entry.revision > revision {
+		n.mu.Unlock()
+		return // written since
+	}
 	n.entry.revision, n.entry.writtenSeq = 0, -1
 	n.mu.Unlock()
 	select {
@@ -66,6 +70,7 @@
 	n.mu.Lock()
 	n.entry.writtenSeq = -1
 	n.mu.Unlock()
+	n.awaitBackend()
 	for n.ctx.Err() == nil {
 		if err := n.write(n.ctx); err != nil {
 			failures++
@@ -85,6 +90,21 @@
 	}
 }
 
+// awaitBackend waits for the first heartbeat of the backend server.
+func (n *Node) awaitBackend() {
+	t := time.NewTimer(n.d.Config.RegisterWait)
+	defer t.Stop()
+	for n.currentServer() == nil {
+		select {
+		case <-n.ctx.Done():
+			return
+		case <-t.C:
+			return
+		case <-n.entryOutdated:
+		}
+	}
+}
+
 // renew extends the lease. An expired lease is replaced by the next write.
 func (n *Node) renew() {
 	n.mu.Lock()
@@ -110,10 +130,13 @@
 			return nil
 		}
 		if e.lease == 0 {
+			began := time.Now()
 			id, err := n.d.Store.Grant(ctx, n.d.Config.Lease)
 			if err != nil {
 				return err
 			}
+			n.observeStoreLatency(time.Since(began))
+			self = n.self()
 			n.mu.Lock()
 			n.entry.lease = id
 			n.mu.Unlock()
--- a/mesh/store_test.go
+++ b/mesh/store_test.go
@@ -125,11 +125,11 @@
 func TestOlderVersionIsIgnored(t *testing.T) {
 	is := is.New(t)
 	r, a, _ := twoNodes(t)
-	old := a.raw
+	old := a.document().raw
 	r.configure(7, "s", "u")
 	eventually(t, "version 7", func() bool { return a.Version() == 7 })
-	a.adopt(old, "Peer", "test")
+	a.adopt(old, delta{}, "Peer", "test")
 	is.Equal(a.Version(), ident.Version(7))
-	a.adopt([]byte(`{"Version": 9, "Routes": [{"Host": "h"}]}`), "Store", "test") // invalid
+	a.adopt([]byte(`{"Version": 9, "Routes": [{"Host": "h"}]}`), delta{}, "Store", "test") // invalid
 	is.Equal(a.Version(), ident.Version(7))
 }
--- a/mesh/storeloop.go
+++ b/mesh/storeloop.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"slices"
 	"strings"
 	"time"
 
@@ -31,21 +30,24 @@
 }
 
 // followStore keeps the configuration and peers in sync with the store, either by reading it or by following
-// the readers of the data centre while they report that they are up to date.
+// other daemons while they confirm that they are up to date.
 func (n *Node) followStore() {
 	n.bootstrap()
 	failures, after := 0, int64(0)
 	for n.ctx.Err() == nil {
-		if n.waitWhileReadersFresh() {
+		if n.waitWhileConfirmed() {
 			after = 0 // changes may have been missed, so read the whole state
 			continue
 		}
 		var err error
+		if after == 0 && failures > 0 {
+			after = n.resumeRevision()
+		}
 		if after == 0 {
 			after, err = n.readAll()
 		} else if after, err = n.watch(after); errors.Is(err, store.ErrCompacted) {
 			n.d.Log.Emit(event.HistoryLost, "After", after)
-			after = 0
+			after, failures = 0, 0 // the store is available, and the whole state has to be read
 			continue
 		}
 		if err == nil {
@@ -62,41 +64,79 @@
 	}
 }
 
-// bootstrapTimeout is how long a starting daemon waits for the configuration from a reader before it reads
-// the store itself.
-const bootstrapTimeout = time.Second
+// resumeAge is the age of the state up to which its changes are read after the store was unavailable, rather than
+// the whole state. It is below the time for which stores usually keep their history.
+const resumeAge = 15 * time.Second
 
-// bootstrap loads the daemons of the data centre first. If all daemons started at once and each read the
-// configuration, they would saturate the links between the regions for seconds.
-func (n *Node) bootstrap() {
-	values, _, err := n.d.Store.Snapshot(n.ctx, n.d.Keys.Peers)
-	if err != nil {
-		return // the first readAll reports the error
+// resumeRevision returns the revision from which to watch after the store was unavailable; zero if the whole state
+// has to be read. Otherwise all daemons would read the whole configuration when the store is back.
+func (n *Node) resumeRevision() int64 {
+	n.stateMu.Lock()
+	defer n.stateMu.Unlock()
+	if n.subs.age() > resumeAge {
+		return 0
 	}
-	for _, v := range values {
-		n.applyValue(v)
+	return n.asOf
+}
+
+// bootstrap finds the daemons to follow, and waits for the state of one. If all daemons started at once and each
+// read the configuration from the store, they would saturate the links between the regions for seconds.
+func (n *Node) bootstrap() {
+	end := time.Now().Add(n.d.Config.BootstrapWait)
+	for {
+		began := time.Now()
+		values, err := n.d.Store.StaleList(n.ctx, n.d.Keys.Peers)
+		if err != nil {
+			return // the first readAll reports the error
+		}
+		n.observeStoreLatency(time.Since(began))
+		for _, v := range values {
+			n.applyValue(v)
+		}
+		if len(n.peers.list()) > 1 || time.Until(end) < staleRetryInterval {
+			break
+		}
+		// All daemons may have just started, so that none has written its entry yet.
+		if !delay.Sleep(n.ctx, staleRetryInterval) {
+			return
+		}
 	}
-	t := time.NewTimer(bootstrapTimeout)
-	defer t.Stop()
-	check := time.NewTicker(bootstrapTimeout / 50)
+	check := time.NewTicker(bootstrapCheckInterval)
 	defer check.Stop()
-	for n.isFollower() && n.readers.freshnessLeft() <= 0 {
+	for n.syncPlan().tier != root && n.confirmationLeft() <= 0 && time.Now().Before(end) {
 		select {
 		case <-check.C:
-		case <-t.C:
-			return
 		case <-n.ctx.Done():
 			return
 		}
 	}
 }
 
-// waitWhileReadersFresh waits while a reader reports that it is up to date, and reports whether one did.
-func (n *Node) waitWhileReadersFresh() bool {
-	if !n.isFollower() {
-		return false
+const (
+	// staleRetryInterval is the time between two reads of a daemon that finds no other at its start. Such a read
+	// may be outdated by seconds, and costs a tenth of a usual one.
+	staleRetryInterval = 400 * time.Millisecond
+	// bootstrapCheckInterval is how often a starting daemon checks whether it has received the state.
+	bootstrapCheckInterval = 20 * time.Millisecond
+)
+
+// observeStoreLatency records how long a call to the store took, which tells how near the store is.
+func (n *Node) observeStoreLatency(d time.Duration) {
+	n.mu.Lock()
+	nearer := n.storeLatency == 0 || d.Truncate(storeDistanceStep) < n.storeLatency.Truncate(storeDistanceStep)
+	if nearer {
+		n.storeLatency = max(d, 1)
+		n.seq++
+	}
+	n.mu.Unlock()
+	if nearer {
+		n.updateSelf(n.self())
 	}
-	d := n.readers.freshnessLeft()
+}
+
+// waitWhileConfirmed waits while a parent confirms that it is up to date, and reports whether one did.
+func (n *Node) waitWhileConfirmed() bool {
+	d := n.confirmationLeft()
 	if d <= 0 {
 		return false
 	}
@@ -105,16 +145,20 @@
 	defer t.Stop()
 	select {
 	case <-t.C:
-	case <-n.readers.readersLost:
+	case <-n.subs.lost:
 	case <-n.ctx.Done():
 	}
 	return true
 }
 
-// upToDate reports whether this daemon reads the store itself and is in sync with it.
-func (n *Node) upToDate() bool {
+// stateAge returns the age of the daemon's state, and whether it is recent enough for others to rely on.
+func (n *Node) stateAge() (time.Duration, bool) {
 	last := time.Unix(0, n.lastStoreReply.Load())
-	return n.readsStore.Load() && n.storeReachable.Load() && time.Since(last) < n.d.Config.WatchWait()+watchReplyMargin
+	if n.readsStore.Load() && n.storeReachable.Load() && time.Since(last) < n.d.Config.WatchWait()+watchReplyMargin {
+		return 0, true
+	}
+	age := n.subs.age()
+	return age, age < followerPatience
 }
 
 // watchReplyMargin is how late the reply to a watch may arrive after its wait.
@@ -139,34 +183,27 @@
 
 // readAll reads the whole state and returns the revision from which to watch.
 func (n *Node) readAll() (int64, error) {
-	before := n.Version()
 	values, after, err := n.d.Store.Snapshot(n.ctx, n.d.Keys.WatchPrefix)
 	if err != nil {
 		return 0, err
 	}
+	n.stateMu.Lock()
+	defer n.stateMu.Unlock()
 	present := map[ident.Addr]bool{}
 	for _, v := range values {
 		if a, ok := n.applyValue(v); ok {
 			present[a] = true
 		}
 	}
-	n.removeAbsentPeers(present)
+	gone := n.peers.removeAbsent(n.d.Self, present, after)
 	if !present[n.d.Self] {
-		n.markEntryMissing()
+		n.markEntryMissing(after)
 	}
-	m := &notice{Peers: n.peers.all(n.d.Self), Full: true, UpToDate: true, Version: n.Version()}
-	n.notifyFollowers(n.withConfig(m, before))
+	n.asOf = max(n.asOf, after)
+	n.notifyFollowers(&notice{Peers: n.peers.all(""), Gone: gone, Full: true, UpToDate: true, Version: n.Version(), AsOf: after})
 	return max(1, after), nil
 }
 
-// withConfig adds the configuration to m if it is newer than before.
-func (n *Node) withConfig(m *notice, before ident.Version) *notice {
-	if m.Version > before {
-		m.Config = n.compressedConfig()
-	}
-	return m
-}
-
 // watch applies the next changes and returns the revision from which to continue.
 func (n *Node) watch(after int64) (int64, error) {
 	changes, next, err := n.d.Store.Follow(n.ctx, n.d.Keys.WatchPrefix, after, n.d.Config.WatchWait())
@@ -176,27 +213,41 @@
 	if len(changes) == 0 {
 		return max(after, next), nil
 	}
-	before := n.Version()
+	n.applyChanges(changes, next)
+	n.waitForBatch()
+	return max(after, next), nil
+}
+
+// applyChanges applies changes of the store and passes them on. Of several configurations only the last is used.
+func (n *Node) applyChanges(changes []store.Change, asOf int64) {
+	n.stateMu.Lock()
+	defer n.stateMu.Unlock()
 	m := &notice{UpToDate: true}
-	for _, c := range changes {
+	var config *store.Value
+	for i, c := range changes {
 		if c.Deleted {
 			if a, ok := n.peerAddr(c.Key); ok {
-				n.handleRemoval(a)
-				m.Gone = append(m.Gone, a)
+				n.handleRemoval(a, c.Revision)
+				m.Gone = append(m.Gone, removedPeer{Addr: a, Revision: c.Revision})
 			}
 			continue
 		}
+		if c.Key == n.d.Keys.Config {
+			config = &changes[i].Value
+			continue
+		}
 		if a, ok := n.applyValue(c.Value); ok {
-			m.Gone = slices.DeleteFunc(m.Gone, func(x ident.Addr) bool { return x == a })
 			if p, ok := n.peers.get(a); ok {
-				m.Peers = append(m.Peers, p)
+				m.Peers = append(m.Peers, storedPeer{Peer: p, Revision: c.Revision})
 			}
 		}
 	}
-	m.Version = n.Version()
-	n.notifyFollowers(n.withConfig(m, before))
-	n.waitForBatch()
-	return max(after, next), nil
+	if config != nil {
+		n.applyValue(*config)
+	}
+	n.asOf = max(n.asOf, asOf)
+	m.Version, m.AsOf = n.Version(), n.asOf
+	n.notifyFollowers(m)
 }
 
 // waitForBatch waits for further changes, unless another daemon has a newer configuration.
@@ -223,7 +274,7 @@
 // applyValue applies a value from the store. It returns the daemon's address if it is a peer entry.
 func (n *Node) applyValue(v store.Value) (ident.Addr, bool) {
 	if v.Key == n.d.Keys.Config {
-		n.adopt(v.Data, "Store", v.Key)
+		n.adopt(v.Data, delta{}, "Store", v.Key)
 		return "", false
 	}
 	addr, ok := n.peerAddr(v.Key)
@@ -239,7 +290,6 @@
 		n.updateOwnEntry(p, v.Revision)
 		return addr, true
 	}
-	n.updatePeer(p, false)
-	n.peers.setStored(addr, v.Revision)
+	n.applyEntry(p, v.Revision)
 	return addr, true
 }
--- /dev/null
+++ b/mesh/subscriptions.go
@@ -0,0 +1,304 @@
+package mesh
+
+import (
+	"sync"
+	"time"
+
+	"github.com/marjoramcroft/marjoramcroft/ident"
+	"github.com/marjoramcroft/marjoramcroft/link"
+)
+
+const (
+	// confirmInterval is how often a daemon tells its followers how current its state is.
+	confirmInterval = 400 * time.Millisecond
+	// relayPatience is the age of the last confirmation after which a relay reads the store itself. More than
+	// half of the shortest time is left in which a configuration must be in force (2.5 s).
+	relayPatience = 1200 * time.Millisecond
+	// followerPatience is the same for a follower. It is longer, so that the relays of its data centre read the
+	// store first and confirm their state to it.
+	followerPatience = 1600 * time.Millisecond
+	// unavailablePatience is the same for a follower whose parents are there, but do not reach the store either.
+	unavailablePatience = 2800 * time.Millisecond
+	// planInterval is how often a daemon checks which daemons it follows.
+	planInterval = 100 * time.Millisecond
+	// avoidTime is how long a daemon that could not be reached is passed over as a parent.
+	avoidTime = time.Second
+)
+
+// subscription is a link over which this daemon follows another one.
+type subscription struct {
+	addr   ident.Addr
+	full   bool      // the other daemon has sent its full state
+	notice time.Time // when its last notice arrived
+}
+
+// subscriptions tracks the daemons that this daemon follows and the daemons that follow it.
+type subscriptions struct {
+	mu        sync.Mutex
+	following map[*link.Conn]*subscription
+	dialing   map[ident.Addr]bool
+	followers map[*link.Conn]struct{}
+	avoid     map[ident.Addr]time.Time // parents that could not be reached, and until when they are passed over
+	confirmed time.Time                // the state is that of the store at this time
+	lost      chan struct{}            // signals that the last link to a parent is gone
+
+	plan       syncPlan
+	planOf     uint64    // generation of the peer list for which plan was made
+	planExpiry time.Time // when plan has to be made again
+}
+
+func newSubscriptions() *subscriptions {
+	return &subscriptions{
+		following: map[*link.Conn]*subscription{}, dialing: map[ident.Addr]bool{}, followers: map[*link.Conn]struct{}{},
+		avoid: map[ident.Addr]time.Time{}, lost: make(chan struct{}, 1),
+	}
+}
+
+// received records a notice over c, and reports whether this daemon follows the sender.
+func (s *subscriptions) received(c *link.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sub := s.following[c]
+	if sub == nil {
+		return false
+	}
+	sub.notice = time.Now()
+	return true
+}
+
+// markFull records that a followed daemon has sent its full state.
+func (s *subscriptions) markFull(c *link.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if sub := s.following[c]; sub != nil {
+		sub.full = true
+	}
+}
+
+// isFull reports whether the followed daemon at the other end of c has sent its full state.
+func (s *subscriptions) isFull(c *link.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sub := s.following[c]
+	return sub != nil && sub.full
+}
+
+// confirm records that the state was that of the store age ago.
+func (s *subscriptions) confirm(age time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if at := time.Now().Add(-age); at.After(s.confirmed) {
+		s.confirmed = at
+	}
+}
+
+// age returns the age of the last confirmation.
+func (s *subscriptions) age() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Since(s.confirmed)
+}
+
+// removeLink forgets a closed link.
+func (s *subscriptions) removeLink(c *link.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.followers, c)
+	if _, ok := s.following[c]; !ok {
+		return
+	}
+	delete(s.following, c)
+	if len(s.following) == 0 {
+		s.confirmed = time.Time{}
+		select {
+		case s.lost <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// syncPlan returns from which daemons this one gets the state of the store.
+func (n *Node) syncPlan() syncPlan {
+	s := n.subs
+	generation, now := n.peers.generation.Load(), time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if generation == s.planOf && now.Before(s.planExpiry) {
+		return s.plan
+	}
+	s.planOf, s.planExpiry = generation, now.Add(avoidTime)
+	for a, until := range s.avoid {
+		if !now.Before(until) {
+			delete(s.avoid, a)
+		}
+	}
+	self := Peer{Addr: n.d.Self, Place: n.d.Place}
+	s.plan = planSync(self, n.peers.list(), func(a ident.Addr) bool { return s.avoid[a].IsZero() })
+	return s.plan
+}
+
+// passOver excludes a daemon from the plan for a while.
+func (s *subscriptions) passOver(a ident.Addr) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.avoid[a], s.planExpiry = time.Now().Add(avoidTime), time.Time{}
+}
+
+// patience returns the age of the last confirmation after which this daemon reads the store itself.
+func (n *Node) patience() time.Duration {
+	switch n.syncPlan().tier {
+	case root:
+		return 0
+	case relay:
+		return relayPatience
+	default:
+		if n.subs.hasParent() {
+			return unavailablePatience
+		}
+		return followerPatience
+	}
+}
+
+// hasParent reports whether a followed daemon has sent a notice lately.
+func (s *subscriptions) hasParent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, sub := range s.following {
+		if sub.full && time.Since(sub.notice) < 2*confirmInterval {
+			return true
+		}
+	}
+	return false
+}
+
+// confirmationLeft returns how much longer this daemon relies on its parents; zero if it has to read the store.
+func (n *Node) confirmationLeft() time.Duration { return max(0, n.patience()-n.subs.age()) }
+
+// maintainSubscriptions keeps links to the parents open, and tells followers how current this daemon's state is.
+func (n *Node) maintainSubscriptions() {
+	check, confirm := time.NewTicker(planInterval), time.NewTicker(confirmInterval)
+	defer check.Stop()
+	defer confirm.Stop()
+	for {
+		select {
+		case <-n.ctx.Done():
+			return
+		case <-check.C:
+			n.followParents(n.syncPlan())
+		case <-confirm.C:
+			n.stateMu.Lock()
+			n.notifyFollowers(n.confirmation())
+			n.stateMu.Unlock()
+			if _, ok := n.stateAge(); ok { // else the store may have entries that this daemon does not know
+				n.peers.removeMissing(time.Now())
+			}
+			if n.Version() == 0 {
+				n.requestState()
+			}
+		}
+	}
+}
+
+// confirmation returns a notice that tells how current this daemon's state is. The caller holds n.stateMu.
+func (n *Node) confirmation() *notice {
+	age, ok := n.stateAge()
+	return &notice{UpToDate: ok, Age: age, Version: n.Version(), AsOf: n.asOf}
+}
+
+// followParents subscribes to the daemons of plan and leaves others.
+func (n *Node) followParents(plan syncPlan) {
+	s := n.subs
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	settled := plan.tier == root
+	subscribed := map[ident.Addr]bool{}
+	now := time.Now()
+	for c, sub := range s.following {
+		subscribed[sub.addr] = true
+		settled = settled || (sub.full && isParent(plan, sub.addr))
+		if now.Sub(sub.notice) > followerPatience { // confirmations are due more often
+			c.MarkSilent()
+			delete(s.following, c)
+			s.avoid[sub.addr], s.planExpiry = now.Add(avoidTime), time.Time{}
+		}
+	}
+	for _, a := range plan.parents {
+		if !subscribed[a] && !s.dialing[a] {
+			s.dialing[a] = true
+			n.wg.Go(func() { n.subscribeTo(a) })
+		}
+	}
+	if !settled {
+		return
+	}
+	for c, sub := range s.following {
+		if !isParent(plan, sub.addr) {
+			delete(s.following, c)
+			n.notify(c, &notice{Unsubscribe: true, Version: n.Version()})
+		}
+	}
+}
+
+func isParent(plan syncPlan, a ident.Addr) bool {
+	for _, p := range plan.parents {
+		if p == a {
+			return true
+		}
+	}
+	return false
+}
+
+// subscribeTo subscribes to the daemon at a.
+func (n *Node) subscribeTo(a ident.Addr) {
+	c, err := n.linkTo(n.ctx, a)
+	s := n.subs
+	s.mu.Lock()
+	delete(s.dialing, a)
+	if err == nil {
+		s.following[c] = &subscription{addr: a, notice: time.Now()}
+	}
+	s.mu.Unlock()
+	if err != nil {
+		s.passOver(a)
+		return
+	}
+	select {
+	case <-c.Done():
+		s.removeLink(c)
+	default:
+		n.notify(c, &notice{Subscribe: true, Version: n.Version()})
+	}
+}
+
+// addFollower registers a follower for all later changes and sends it the current state.
+func (n *Node) addFollower(c *link.Conn, has ident.Version) {
+	n.subs.mu.Lock()
+	n.subs.followers[c] = struct{}{}
+	n.subs.mu.Unlock()
+	n.sendState(c, has)
+}
+
+func (n *Node) removeFollower(c *link.Conn) {
+	n.subs.mu.Lock()
+	defer n.subs.mu.Unlock()
+	delete(n.subs.followers, c)
+}
+
+func (n *Node) hasFollowers() bool {
+	n.subs.mu.Lock()
+	defer n.subs.mu.Unlock()
+	return len(n.subs.followers) > 0
+}
+
+// notifyFollowers sends m to all followers. A follower that does not read its link is disconnected: it has missed
+// a change, and gets the full state when it subscribes again.
+func (n *Node) notifyFollowers(m *notice) {
+	n.subs.mu.Lock()
+	defer n.subs.mu.Unlock()
+	for c := range n.subs.followers {
+		if !n.notify(c, m) {
+			delete(n.subs.followers, c)
+			go c.Close()
+		}
+	}
+}
--- a/store/client.go
+++ b/store/client.go
@@ -71,6 +71,15 @@
 	})
 }
 
+// StaleList is List, but the result may be seconds old.
+func (c *Client) StaleList(ctx context.Context, prefix string) ([]Value, error) {
+	list := c.Driver.StaleList
+	if list == nil {
+		list = c.Driver.List
+	}
+	return call(ctx, c, opStaleList, prefix, func(ctx context.Context) ([]Value, error) { return list(ctx, prefix) })
+}
+
 // Swap writes data if key is at revision, else it returns the current value with ErrConflict.
 func (c *Client) Swap(ctx context.Context, key string, revision int64, data []byte, lease LeaseID) (Value, error) {
 	return call(ctx, c, opSwap, key, func(ctx context.Context) (Value, error) {
--- a/store/driver.go
+++ b/store/driver.go
@@ -32,6 +32,8 @@
 	// Snapshot returns the values whose keys have the prefix, and the revision after which
 	// Follow returns all changes. Nil if not supported.
 	Snapshot func(ctx context.Context, prefix string) ([]Value, int64, error)
+	// StaleList is List, but the result may be seconds old and costs the store less. Nil: List is used.
+	StaleList func(ctx context.Context, prefix string) ([]Value, error)
 	// Follow waits up to wait for a change of a key with the prefix after a revision. It returns the
 	// changes, or none, and the revision to pass to the next Follow. ErrCompacted means that the
 	// store no longer has these changes. Nil if not supported.
--- a/store/op.go
+++ b/store/op.go
@@ -13,13 +13,14 @@
 	opRevoke op = "Revoke"
 	opWatch  op = "Watch"
 
-	opSnapshot op = "Snapshot"
+	opSnapshot  op = "Snapshot"
+	opStaleList op = "StaleList"
 )
 
 // isWrite reports whether the call changes the store.
 func (o op) isWrite() bool {
 	switch o {
-	case opGet, opList, opWatch, opSnapshot:
+	case opGet, opList, opWatch, opSnapshot, opStaleList:
 		return false
 	}
 	return true
