link: Confirm that a daemon answers before handing it a call

Cause: a VM that loses power or its network leaves its links open. Each entry found out by itself after 0.9 s of silence on its own link; its calls until then were lost, ended as unknown, and unsafe ones could not be sent elsewhere. With 196 entries each loses one or two calls for each VM that is gone.

Change: if nothing has arrived over a link for 150 ms and ten round trips, a ping has to be answered within 100 ms and two round trips, before a call is sent. If not, the call has not been sent, and goes to another server.

--- a/link/conn.go
+++ b/link/conn.go
@@ -69,9 +69,10 @@
 	closed       bool
 	pinged       bool
 	silent       bool
-	waitingSince time.Time    // when the first of the waiting calls started
-	silenceTimer *time.Timer  // runs checkSilence while calls wait
-	lastReceived atomic.Int64 // when the last frame arrived, as duration since start
+	confirming   chan struct{} // closed when the next frame arrives; nil: no Confirm waits
+	waitingSince time.Time     // when the first of the waiting calls started
+	silenceTimer *time.Timer   // runs checkSilence while calls wait
+	lastReceived atomic.Int64  // when the last frame arrived, as duration since start
 	start        time.Time
 }
 
@@ -94,6 +95,14 @@
 // RemoteAddr returns the address of the other daemon.
 func (c *Conn) RemoteAddr() net.Addr { return c.nc.RemoteAddr() }
 
+// recordReceived records that a frame has arrived.
+func (c *Conn) recordReceived() {
+	c.lastReceived.Store(int64(time.Since(c.start)))
+	c.mu.Lock()
+	c.endConfirm()
+	c.mu.Unlock()
+}
+
 // Close closes the connection. Waiting calls return ErrLost or ErrNotSent.
 func (c *Conn) Close() {
 	c.mu.Lock()
@@ -111,6 +120,7 @@
 	}
 	c.queue = nil
 	c.queueReady.Broadcast()
+	c.endConfirm()
 }
 
 // Serve reads and writes until the connection is closed, and returns the read error.
@@ -123,7 +133,7 @@
 		if err != nil {
 			return err
 		}
-		c.lastReceived.Store(int64(time.Since(c.start)))
+		c.recordReceived()
 		var f frame
 		if err := wire.Decode(payload, &f); err != nil {
 			return err
--- a/link/silence.go
+++ b/link/silence.go
@@ -1,6 +1,9 @@
 package link
 
-import "time"
+import (
+	"context"
+	"time"
+)
 
 // Silent reports whether the other daemon, with an outstanding call, sent nothing for silenceTimeout, not
 // even the answer to a ping, and may be gone. A silent connection stays silent.
@@ -10,6 +13,56 @@
 	return c.silent
 }
 
+// Confirm reports whether the other daemon answers: it has sent a frame within recent, or answers a ping within
+// timeout. A caller can then send a call elsewhere, rather than to a VM that has lost power or its network.
+func (c *Conn) Confirm(ctx context.Context, recent, timeout time.Duration) bool {
+	c.mu.Lock()
+	if c.closed {
+		c.mu.Unlock()
+		return false
+	}
+	if time.Since(c.start.Add(time.Duration(c.lastReceived.Load()))) < recent {
+		c.mu.Unlock()
+		return true
+	}
+	answered, first := c.confirming, c.confirming == nil
+	if first {
+		answered = make(chan struct{})
+		c.confirming = answered
+	}
+	c.mu.Unlock()
+	if first {
+		c.enqueue(frame{Kind: kindPing}, 0)
+	}
+	t := time.NewTimer(timeout)
+	defer t.Stop()
+	select {
+	case <-answered:
+		return c.ctx.Err() == nil
+	case <-t.C:
+		c.abandonConfirm(answered)
+	case <-ctx.Done():
+	}
+	return false
+}
+
+// endConfirm releases the callers of Confirm. The caller holds c.mu.
+func (c *Conn) endConfirm() {
+	if c.confirming != nil {
+		close(c.confirming)
+		c.confirming = nil
+	}
+}
+
+// abandonConfirm has the next Confirm send another ping, because the present one may be lost.
+func (c *Conn) abandonConfirm(answered chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.confirming == answered {
+		c.confirming = nil
+	}
+}
+
 // MarkSilent marks the connection as silent, for a caller that expected notices over it.
 func (c *Conn) MarkSilent() {
 	c.mu.Lock()
--- a/mesh/links.go
+++ b/mesh/links.go
@@ -11,6 +11,7 @@
 	"github.com/marjoramcroft/marjoramcroft/ident"
 	"github.com/marjoramcroft/marjoramcroft/link"
 	"github.com/marjoramcroft/marjoramcroft/refuse"
+	"github.com/marjoramcroft/marjoramcroft/route"
 	"github.com/marjoramcroft/marjoramcroft/wire"
 )
 
@@ -18,6 +19,12 @@
 	// linkDialTimeout limits connecting to another daemon to ten round trips between regions. A VM that has
 	// just been removed does not answer at all.
 	linkDialTimeout = 400 * time.Millisecond
+	// linkRecent is the age of the last frame, plus ten round trips, up to which a call is sent without a ping before
+	// it. A VM that loses power does not close its links, so that all calls sent to it later would be lost.
+	linkRecent = 150 * time.Millisecond
+	// quotaStop is the longest time for which a processor quota stops a daemon that works. A ping may take as long,
+	// and two round trips.
+	quotaStop = 100 * time.Millisecond
 	// silentLinkGrace is how long a silent link stays open for calls that must not be repeated.
 	silentLinkGrace = 10 * time.Second
 )
@@ -49,6 +56,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if rtt := n.roundTrip(addr); !c.Confirm(ctx, linkRecent+10*rtt, quotaStop+2*rtt) {
+		n.d.Stats.Inc("Link.Unconfirmed")
+		return nil, fmt.Errorf("%w: %w", link.ErrNotSent, errUnconfirmed)
+	}
 	b, err := c.Call(ctx, body, !r.Idempotent)
 	if err != nil {
 		return nil, err
@@ -61,7 +72,19 @@
 	return &out, nil
 }
 
-var errNoOutcome = errors.New("no outcome")
+var (
+	errNoOutcome   = errors.New("no outcome")
+	errUnconfirmed = errors.New("the daemon does not answer a ping")
+)
+
+// roundTrip returns the usual network round trip to the daemon at addr.
+func (n *Node) roundTrip(addr ident.Addr) time.Duration {
+	p, ok := n.peers.get(addr)
+	if !ok {
+		p.Place = n.d.Place
+	}
+	return route.RoundTrip(n.d.Place, p.Place)
+}
 
 // mayHaveRun reports whether a request that failed with err may have reached a backend server.
 func mayHaveRun(err error) bool { return !errors.Is(err, link.ErrNotSent) }
--- a/route/board.go
+++ b/route/board.go
@@ -73,6 +73,9 @@
 // region.
 var roundTrips = [3]time.Duration{time.Millisecond, 2 * time.Millisecond, 45 * time.Millisecond}
 
+// RoundTrip returns the usual network round trip between two places.
+func RoundTrip(a, b ident.Place) time.Duration { return roundTrips[a.Distance(b)] }
+
 // transferCosts are the costs of sending a request to the same data centre, to another one of the region and
 // to another region, as shares of the value of its answer. The links between regions have little bandwidth and
 // all links are paid by volume, so a request stays near while it can be answered in time there.
