--- a/origin/conn.go
+++ b/origin/conn.go
@@ -75,7 +75,7 @@
 // follows it.
 func (c *conn) readResponse(r *Request, n Names) (*Response, error) {
 	for stale := 0; ; stale++ {
-		hr, body, err := c.readAnswer(r)
+		hr, body, err := c.readAnswer(r) //nolint:bodyclose // readAnswer has read the body
 		if err != nil {
 			return nil, err
 		}
