mesh: Send one copy of a change to a data centre

Change: of its parents, the first one sends a daemon what changes; the others only confirm how current its state is. If one of these has had something for 0.6 s that the first has not sent, it is asked for it. The second relay of a data centre follows the first one. A root is the first relay of its own data centre.

--- a/mesh/gossip.go
+++ b/mesh/gossip.go
@@ -39,7 +39,7 @@
 	n.suspects.Merge(m.Suspects)
 	switch {
 	case m.Subscribe:
-		n.addFollower(c, m.Version)
+		n.addFollower(c, m.Version, m.Brief)
 	case m.Unsubscribe:
 		n.removeFollower(c)
 	case m.WantState:
@@ -105,9 +105,13 @@
 	}
 	if n.subs.isFull(c) {
 		n.asOf = max(n.asOf, m.AsOf)
-		if m.UpToDate {
-			n.subs.confirm(m.Age)
-		}
+	}
+	behind := m.AsOf > n.asOf || m.Version > n.Version()
+	if m.UpToDate && !behind && n.asOf > 0 {
+		n.subs.confirm(m.Age)
+	}
+	if n.subs.recordBehind(c, behind) {
+		n.notify(c, &notice{Subscribe: true, Version: n.Version()})
 	}
 }
 
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -89,4 +89,6 @@
 	Age         time.Duration
 	AsOf        int64 // revision of the store up to which the sender has all entries
 	Unsubscribe bool  // the sender needs no further changes
+	// Brief, with Subscribe, requests only confirmations: UpToDate, Age, AsOf and Version.
+	Brief bool
 }
--- a/mesh/subscriptions.go
+++ b/mesh/subscriptions.go
@@ -17,6 +17,8 @@
 	// followerPatience is the same for a follower. It is longer, so that the relays of its data centre read the
 	// store first and confirm their state to it.
 	followerPatience = 1600 * time.Millisecond
+	// behindPatience is how long the first parent may lack changes that another one has.
+	behindPatience = 600 * time.Millisecond
 	// unavailablePatience is the same for a follower whose parents are there, but do not reach the store either.
 	unavailablePatience = 2800 * time.Millisecond
 	// planInterval is how often a daemon checks which daemons it follows.
@@ -28,16 +30,19 @@
 // subscription is a link over which this daemon follows another one.
 type subscription struct {
 	addr   ident.Addr
+	brief  bool      // the other daemon sends only confirmations
 	full   bool      // the other daemon has sent its full state
 	notice time.Time // when its last notice arrived
+	// behindSince is when a confirmation first showed that this daemon's state lacks changes; zero: it does not.
+	behindSince time.Time
 }
 
 // subscriptions tracks the daemons that this daemon follows and the daemons that follow it.
 type subscriptions struct {
 	mu        sync.Mutex
 	following map[*link.Conn]*subscription
-	dialing   map[ident.Addr]bool
-	followers map[*link.Conn]struct{}
+	opening   map[ident.Addr]bool
+	followers map[*link.Conn]bool      // true: gets only confirmations
 	avoid     map[ident.Addr]time.Time // parents that could not be reached, and until when they are passed over
 	confirmed time.Time                // the state is that of the store at this time
 	lost      chan struct{}            // signals that the last link to a parent is gone
@@ -49,7 +54,7 @@
 
 func newSubscriptions() *subscriptions {
 	return &subscriptions{
-		following: map[*link.Conn]*subscription{}, dialing: map[ident.Addr]bool{}, followers: map[*link.Conn]struct{}{},
+		following: map[*link.Conn]*subscription{}, opening: map[ident.Addr]bool{}, followers: map[*link.Conn]bool{},
 		avoid: map[ident.Addr]time.Time{}, lost: make(chan struct{}, 1),
 	}
 }
@@ -83,6 +88,25 @@
 	return sub != nil && sub.full
 }
 
+// recordBehind records whether a confirmation over c shows that this daemon's state lacks changes, and reports
+// whether that has been so for behindPatience. The parent is then asked for its state.
+func (s *subscriptions) recordBehind(c *link.Conn, behind bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sub := s.following[c]
+	switch now := time.Now(); {
+	case sub == nil || !sub.brief:
+	case !behind:
+		sub.behindSince = time.Time{}
+	case sub.behindSince.IsZero():
+		sub.behindSince = now
+	case now.Sub(sub.behindSince) > behindPatience:
+		sub.brief, sub.behindSince = false, time.Time{}
+		return true
+	}
+	return false
+}
+
 // confirm records that the state was that of the store age ago.
 func (s *subscriptions) confirm(age time.Duration) {
 	s.mu.Lock()
@@ -187,7 +211,7 @@
 			n.followParents(n.syncPlan())
 		case <-confirm.C:
 			n.stateMu.Lock()
-			n.notifyFollowers(n.confirmation())
+			n.confirmFollowers()
 			n.stateMu.Unlock()
 			if _, ok := n.stateAge(); ok { // else the store may have entries that this daemon does not know
 				n.peers.removeMissing(time.Now())
@@ -222,12 +246,15 @@
 			s.avoid[sub.addr], s.planExpiry = now.Add(avoidTime), time.Time{}
 		}
 	}
-	for _, a := range plan.parents {
-		if !subscribed[a] && !s.dialing[a] {
-			s.dialing[a] = true
-			n.wg.Go(func() { n.subscribeTo(a) })
+	for i, a := range plan.parents {
+		if !subscribed[a] && !s.opening[a] {
+			s.opening[a] = true
+			n.wg.Go(func() { n.subscribeTo(a, i > 0) })
 		}
 	}
+	if len(plan.parents) > 0 {
+		n.upgradeFirst(plan.parents[0])
+	}
 	if !settled {
 		return
 	}
@@ -248,14 +275,25 @@
 	return false
 }
 
-// subscribeTo subscribes to the daemon at a.
-func (n *Node) subscribeTo(a ident.Addr) {
+// upgradeFirst requests all changes from the first parent, which may have been another one before. The caller holds
+// n.subs.mu.
+func (n *Node) upgradeFirst(a ident.Addr) {
+	for c, sub := range n.subs.following {
+		if sub.addr == a && sub.brief {
+			sub.brief = false
+			n.notify(c, &notice{Subscribe: true, Version: n.Version()})
+		}
+	}
+}
+
+// subscribeTo subscribes to the daemon at a; brief means that only confirmations are needed.
+func (n *Node) subscribeTo(a ident.Addr, brief bool) {
 	c, err := n.linkTo(n.ctx, a)
 	s := n.subs
 	s.mu.Lock()
-	delete(s.dialing, a)
+	delete(s.opening, a)
 	if err == nil {
-		s.following[c] = &subscription{addr: a, notice: time.Now()}
+		s.following[c] = &subscription{addr: a, brief: brief, notice: time.Now()}
 	}
 	s.mu.Unlock()
 	if err != nil {
@@ -266,16 +304,18 @@
 	case <-c.Done():
 		s.removeLink(c)
 	default:
-		n.notify(c, &notice{Subscribe: true, Version: n.Version()})
+		n.notify(c, &notice{Subscribe: true, Brief: brief, Version: n.Version()})
 	}
 }
 
-// addFollower registers a follower for all later changes and sends it the current state.
-func (n *Node) addFollower(c *link.Conn, has ident.Version) {
+// addFollower registers a follower for all later changes and sends it the current state, unless it is brief.
+func (n *Node) addFollower(c *link.Conn, has ident.Version, brief bool) {
 	n.subs.mu.Lock()
-	n.subs.followers[c] = struct{}{}
+	n.subs.followers[c] = brief
 	n.subs.mu.Unlock()
-	n.sendState(c, has)
+	if !brief {
+		n.sendState(c, has)
+	}
 }
 
 func (n *Node) removeFollower(c *link.Conn) {
@@ -287,16 +327,27 @@
 func (n *Node) hasFollowers() bool {
 	n.subs.mu.Lock()
 	defer n.subs.mu.Unlock()
-	return len(n.subs.followers) > 0
+	for _, brief := range n.subs.followers {
+		if !brief {
+			return true
+		}
+	}
+	return false
 }
 
-// notifyFollowers sends m to all followers. A follower that does not read its link is disconnected: it has missed
+// confirmFollowers tells all followers how current this daemon's state is. The caller holds n.stateMu.
+func (n *Node) confirmFollowers() { n.sendFollowers(n.confirmation(), true) }
+
+// notifyFollowers sends changes to the followers that want them.
+func (n *Node) notifyFollowers(m *notice) { n.sendFollowers(m, false) }
+
+// sendFollowers sends m to the followers, to the brief ones only if it is a confirmation. A follower that does not read its link is disconnected: it has missed
 // a change, and gets the full state when it subscribes again.
-func (n *Node) notifyFollowers(m *notice) {
+func (n *Node) sendFollowers(m *notice, confirmation bool) {
 	n.subs.mu.Lock()
 	defer n.subs.mu.Unlock()
-	for c := range n.subs.followers {
-		if !n.notify(c, m) {
+	for c, brief := range n.subs.followers {
+		if (confirmation || !brief) && !n.notify(c, m) {
 			delete(n.subs.followers, c)
 			go c.Close()
 		}
--- a/mesh/syncplan.go
+++ b/mesh/syncplan.go
@@ -30,10 +30,11 @@
 	root                 // reads the store
 )
 
-// syncPlan tells from which daemons a daemon gets the state of the store.
+// syncPlan tells from which daemons a daemon gets the state of the store. The first parent sends it what changes,
+// the others only confirm how current its state is, until they have something that the first one has not sent.
 type syncPlan struct {
 	tier    tier
-	parents []ident.Addr // the daemons that it follows; none for a root
+	parents []ident.Addr // none for a root
 }
 
 // planSync returns the plan of the daemon self among peers, which include it. Daemons for which usable is false
@@ -56,17 +57,34 @@
 		}
 	}
 	roots, central := takeRoots(central)
-	if contains(roots, self.Addr) {
+	if len(roots) == 0 || contains(roots, self.Addr) {
 		return syncPlan{tier: root}
 	}
-	relays, _ := takeTop(local, relaysPerDataCentre, string(self.Place.DataCentre))
+	relays := takeRelays(local, roots, self.Place)
 	standby, _ := takeTop(central, standbyCount, rootKey)
-	if contains(relays, self.Addr) || contains(standby, self.Addr) {
+	switch {
+	case len(relays) == 0 || relays[0].Addr == self.Addr: // none if all of them are stopping
 		return syncPlan{tier: relay, parents: addrs(roots)}
+	case contains(relays, self.Addr) || contains(standby, self.Addr):
+		// One copy of a change is enough for a data centre.
+		return syncPlan{tier: relay, parents: append(addrs(relays[:1]), addrs(without(roots, relays[0].Addr))...)}
 	}
 	return syncPlan{tier: follower, parents: addrs(relays)}
 }
 
+// takeRelays returns the relays of a data centre, with the roots that are in it first.
+func takeRelays(local, roots []Peer, place ident.Place) []Peer {
+	var relays []Peer
+	for _, p := range roots {
+		if p.Place == place {
+			relays = append(relays, p)
+			local = without(local, p.Addr)
+		}
+	}
+	more, _ := takeTop(local, max(0, relaysPerDataCentre-len(relays)), string(place.DataCentre))
+	return append(relays, more...)
+}
+
 // rootKey is hashed to rank the roots.
 const rootKey = "root"
 
