mesh: Remember across a restart that a backend server has left

Cause, found by a test: a daemon that was restarted after its backend server had reported that it was draining or gone took a delayed heartbeat of that server as the first one, and the server was in use again. This happened with the store and without.

Change: a restarted daemon takes the departure from its own earlier entry, in the store or as another daemon returns it with the first notice over a link.

--- a/mesh/gossip.go
+++ b/mesh/gossip.go
@@ -33,6 +33,7 @@
 		return
 	}
 	if m.Self != nil && m.Self.Addr != n.d.Self {
+		n.returnDeparture(c, m.Self)
 		n.updatePeer(*m.Self, true)
 	}
 	n.applyState(c, &m)
@@ -49,6 +50,15 @@
 	}
 }
 
+// returnDeparture tells a daemon that was restarted that the backend server beside it had left before. The daemon
+// has lost that, and the store may be unavailable.
+func (n *Node) returnDeparture(c *link.Conn, self *Peer) {
+	earlier, ok := n.peers.get(self.Addr)
+	if ok && earlier.Life < self.Life && earlier.Server != nil && earlier.Server.State != Ready {
+		n.notify(c, &notice{Peers: []storedPeer{{Peer: earlier}}, Version: n.Version()})
+	}
+}
+
 // applyState applies the part of a notice that originates from the store, and passes on to the followers what is
 // newer than the state so far. The store's revisions order all entries, so nothing is passed on twice, even among
 // daemons that follow each other.
@@ -61,6 +71,7 @@
 	for _, p := range m.Peers {
 		present[p.Peer.Addr] = p.Revision > 0
 		if p.Peer.Addr == n.d.Self {
+			n.rememberDeparture(p.Peer)
 			continue
 		}
 		if n.applyEntry(p.Peer, p.Revision) {
--- a/mesh/register.go
+++ b/mesh/register.go
@@ -19,6 +19,7 @@
 
 // updateOwnEntry records the revision at which the store holds the daemon's own entry.
 func (n *Node) updateOwnEntry(p Peer, revision int64) {
+	n.rememberDeparture(p)
 	n.mu.Lock()
 	if revision <= n.entry.revision {
 		n.mu.Unlock()
@@ -156,6 +157,10 @@
 // handleWriteResult records the result of writing the daemon's own entry. If the outcome is unknown, the next
 // write resolves it: it fails if the key has another revision and returns that revision.
 func (n *Node) handleWriteResult(self Peer, v store.Value, err error) error {
+	var found Peer // the stored entry, if another one than expected
+	if errors.Is(err, store.ErrConflict) && wire.Decode(v.Data, &found) == nil {
+		n.rememberDeparture(found)
+	} // absent, or invalid and overwritten
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	switch {
@@ -164,10 +169,9 @@
 		return nil
 	case errors.Is(err, store.ErrConflict):
 		n.entry.revision, n.entry.writtenSeq = v.Revision, -1
-		var p Peer
-		if derr := wire.Decode(v.Data, &p); derr == nil {
-			n.supersede(p)
-		} // absent, or invalid and overwritten
+		if found.Life != 0 {
+			n.supersede(found)
+		}
 		return nil
 	case errors.Is(err, store.ErrLeaseLost):
 		n.entry.lease, n.entry.writtenSeq = 0, -1
--- a/mesh/server.go
+++ b/mesh/server.go
@@ -60,7 +60,7 @@
 	} else {
 		next.client, next.leaving = cur.client, cur.leaving
 	}
-	next.leaving = next.leaving || h.State == Draining
+	next.leaving = next.leaving || h.State == Draining || n.hasDeparted(&next.Server)
 	if next.leaving {
 		next.State = Draining
 	}
@@ -87,6 +87,34 @@
 	n.applyServer(&next, false, true)
 }
 
+// hasDeparted reports whether s is the process that had left before this daemon started. The caller holds n.mu.
+func (n *Node) hasDeparted(s *Server) bool {
+	return n.departed != nil && n.departed.ID == s.ID && n.departed.Born == s.Born
+}
+
+// rememberDeparture applies the state that the store or another daemon has of this daemon's earlier process. A
+// backend server that had left may have sent a heartbeat before, which arrives only now.
+func (n *Node) rememberDeparture(earlier Peer) {
+	n.mu.Lock()
+	if earlier.Life >= n.incarnation || earlier.Server == nil || earlier.Server.State == Ready {
+		n.mu.Unlock()
+		return
+	}
+	if n.departed == nil || n.departed.Born <= earlier.Server.Born {
+		n.departed = earlier.Server
+	}
+	cur := n.server
+	if cur == nil || cur.leaving || !n.hasDeparted(&cur.Server) {
+		n.mu.Unlock()
+		return
+	}
+	next := *cur
+	next.leaving, next.State = true, n.departed.State
+	n.server = &next
+	n.mu.Unlock()
+	n.applyServer(&next, false, true)
+}
+
 func (n *Node) applyServer(s *localServer, fresh, changed bool) {
 	if fresh {
 		n.slots.Restart()
