mesh: Send less at a restart of all daemons

A small VM has a link of 14 Mbit/s.

Change: a daemon without state sends it only once it has it; peers in a notice are compressed; a notice to all followers is encoded once; each relay feeds half of the followers of its data centre; state is requested from others only 1.6 s after the start.

--- a/mesh/gossip.go
+++ b/mesh/gossip.go
@@ -6,7 +6,6 @@
 	"github.com/marjoramcroft/marjoramcroft/event"
 	"github.com/marjoramcroft/marjoramcroft/ident"
 	"github.com/marjoramcroft/marjoramcroft/link"
-	"github.com/marjoramcroft/marjoramcroft/wire"
 )
 
 // sendHello sends this daemon's own state and configuration version over a new link.
@@ -17,7 +16,7 @@
 
 // notify sends m over c, and reports whether it could be queued.
 func (n *Node) notify(c *link.Conn, m *notice) bool {
-	b, err := wire.Encode(m)
+	b, err := m.encode()
 	if err != nil {
 		n.d.Log.Emit(event.CallUnencodable, "Error", err)
 		return false
@@ -27,8 +26,8 @@
 
 // handleNotice applies a notice from another daemon.
 func (n *Node) handleNotice(c *link.Conn, body []byte) {
-	var m notice
-	if err := wire.Decode(body, &m); err != nil {
+	m, err := decodeNotice(body)
+	if err != nil {
 		n.d.Log.Emit(event.NoticeUnreadable, "From", c.RemoteAddr(), "Error", err)
 		return
 	}
@@ -36,11 +35,11 @@
 		n.returnDeparture(c, m.Self)
 		n.updatePeer(*m.Self, true)
 	}
-	n.applyState(c, &m)
+	n.applyState(c, m)
 	n.suspects.Merge(m.Suspects)
 	switch {
 	case m.Subscribe:
-		n.addFollower(c, m.Version, m.Brief)
+		n.addFollower(c, m)
 	case m.Unsubscribe:
 		n.removeFollower(c)
 	case m.WantState:
@@ -168,9 +167,9 @@
 	n.notify(c, m)
 }
 
-// requestState requests the state of another daemon, because neither the store nor a parent has delivered it.
+// requestState requests the state of another daemon if neither the store nor a parent has delivered it for a while.
 func (n *Node) requestState() {
-	if n.subs.age() < followerPatience {
+	if time.Since(n.started) < followerPatience || n.subs.age() < followerPatience {
 		return
 	}
 	n.mu.Lock()
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -8,6 +8,7 @@
 	"github.com/marjoramcroft/marjoramcroft/poison"
 	"github.com/marjoramcroft/marjoramcroft/refuse"
 	"github.com/marjoramcroft/marjoramcroft/route"
+	"github.com/marjoramcroft/marjoramcroft/wire"
 )
 
 // request is a call as sent to the daemon beside the selected backend server.
@@ -71,6 +72,40 @@
 	Revision int64
 }
 
+// minPackedPeers is the number of peers from which a notice has them compressed. The links of small VMs carry some
+// 10 Mbit/s, and all daemons of a data centre may start at once.
+const minPackedPeers = 8
+
+// encode returns m in its wire format.
+func (m *notice) encode() ([]byte, error) {
+	if len(m.Peers) < minPackedPeers {
+		return wire.Encode(m)
+	}
+	peers, err := wire.Encode(m.Peers)
+	if err != nil {
+		return nil, err
+	}
+	packed := *m
+	packed.Peers, packed.PackedPeers = nil, wire.Compress(peers)
+	return wire.Encode(&packed)
+}
+
+// decodeNotice decodes the output of encode.
+func decodeNotice(b []byte) (*notice, error) {
+	var m notice
+	if err := wire.Decode(b, &m); err != nil {
+		return nil, err
+	}
+	if len(m.PackedPeers) == 0 {
+		return &m, nil
+	}
+	peers, err := wire.Decompress(m.PackedPeers)
+	if err != nil {
+		return nil, err
+	}
+	return &m, wire.Decode(peers, &m.Peers)
+}
+
 // notice sends state changes to another daemon. Absent fields carry no information.
 type notice struct {
 	_msgpack  struct{}         `msgpack:",as_array"` //nolint:unused // read by msgpack
@@ -91,4 +126,6 @@
 	Unsubscribe bool  // the sender needs no further changes
 	// Brief, with Subscribe, requests only confirmations: UpToDate, Age, AsOf and Version.
 	Brief bool
+	// PackedPeers holds Peers, encoded and compressed, if there are many.
+	PackedPeers []byte
 }
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -49,6 +49,7 @@
 type Node struct {
 	d           Deps
 	incarnation ident.Incarnation
+	started     time.Time
 	table       atomic.Pointer[table.Table]
 	peers       *peerList
 	board       *route.LoadTable
@@ -96,7 +97,7 @@
 		d.Now = time.Now
 	}
 	n := &Node{
-		d: d, incarnation: ident.NewIncarnation(d.Now()), peers: newPeerList(),
+		d: d, incarnation: ident.NewIncarnation(d.Now()), started: time.Now(), peers: newPeerList(),
 		board: route.NewLoadTable(d.Place, d.Now, d.Random), slots: admit.NewSlots(d.Now),
 		latencies: newLatencyStats(), suspects: poison.New(poison.Deps{Log: d.Log, Stats: d.Stats}),
 		bodies: origin.NewBodyBudget(d.Config.BodyMemory),
--- a/mesh/subscriptions.go
+++ b/mesh/subscriptions.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/marjoramcroft/marjoramcroft/event"
 	"github.com/marjoramcroft/marjoramcroft/ident"
 	"github.com/marjoramcroft/marjoramcroft/link"
 )
@@ -308,13 +309,17 @@
 	}
 }
 
-// addFollower registers a follower for all later changes and sends it the current state, unless it is brief.
-func (n *Node) addFollower(c *link.Conn, has ident.Version, brief bool) {
+// addFollower registers a follower for all later changes and sends it the current state, unless it needs only
+// confirmations. A daemon that has no state yet sends it as soon as it has received it.
+func (n *Node) addFollower(c *link.Conn, m *notice) {
 	n.subs.mu.Lock()
-	n.subs.followers[c] = brief
+	n.subs.followers[c] = m.Brief
 	n.subs.mu.Unlock()
-	if !brief {
-		n.sendState(c, has)
+	n.stateMu.Lock()
+	hasState := n.asOf > 0 || n.Version() > m.Version
+	n.stateMu.Unlock()
+	if !m.Brief && hasState {
+		n.sendState(c, m.Version)
 	}
 }
 
@@ -344,10 +349,15 @@
 // sendFollowers sends m to the followers, to the brief ones only if it is a confirmation. A follower that does not read its link is disconnected: it has missed
 // a change, and gets the full state when it subscribes again.
 func (n *Node) sendFollowers(m *notice, confirmation bool) {
+	b, err := m.encode()
+	if err != nil {
+		n.d.Log.Emit(event.CallUnencodable, "Error", err)
+		return
+	}
 	n.subs.mu.Lock()
 	defer n.subs.mu.Unlock()
 	for c, brief := range n.subs.followers {
-		if (confirmation || !brief) && !n.notify(c, m) {
+		if (confirmation || !brief) && !c.Notify(b) {
 			delete(n.subs.followers, c)
 			go c.Close()
 		}
--- a/mesh/sync_test.go
+++ b/mesh/sync_test.go
@@ -34,6 +34,7 @@
 	calls     atomic.Int64 // to the store; a renewal and a stale read count a tenth
 	farBytes  atomic.Int64 // answers of the store to the other region
 	mu        sync.Mutex
+	linkBytes float64   // capacity of the link between the regions, in bytes a second
 	linkFree  time.Time // when the link between the regions has carried all answers
 	separated bool
 }
@@ -53,7 +54,7 @@
 )
 
 func newSyncFleet(t *testing.T, dataCentres, daemons int) *syncFleet {
-	f := &syncFleet{t: t, net: emul.NewNetwork(), store: emul.NewStore(emul.DefaultStoreConfig())}
+	f := &syncFleet{t: t, net: emul.NewNetwork(), store: emul.NewStore(emul.DefaultStoreConfig()), linkBytes: farLinkBytes}
 	for d := range dataCentres {
 		p := ident.Place{Region: "near", DataCentre: ident.DataCentre(fmt.Sprint("dc", d))}
 		if d >= dataCentres/2 {
@@ -131,7 +132,7 @@
 		if f.linkFree.Before(now) {
 			f.linkFree = now
 		}
-		f.linkFree = f.linkFree.Add(time.Duration(float64(size) / farLinkBytes * float64(time.Second)))
+		f.linkFree = f.linkFree.Add(time.Duration(float64(size) / f.linkBytes * float64(time.Second)))
 		d += f.linkFree.Sub(now) + 40*time.Millisecond
 	}
 	f.mu.Unlock()
@@ -272,6 +273,34 @@
 	f.requireInForce(1)
 }
 
+// TestRestartOfAllOnSmallVMs guards against a restart of all daemons that takes seconds because the state that roots
+// and relays send fills the links of their VMs, which also carry what they read from the store.
+func TestRestartOfAllOnSmallVMs(t *testing.T) {
+	const vmLinkBytes = 14e6 / 8 // a second
+	synctest.Test(t, func(t *testing.T) {
+		f := newSyncFleet(t, 8, 24)
+		f.linkBytes = 150e6 / 8
+		f.startAll()
+		for _, n := range f.nodes {
+			f.kill(n)
+		}
+		time.Sleep(800 * time.Millisecond)
+		before := map[ident.Addr]int64{}
+		for _, n := range f.nodes {
+			before[n.addr] = f.net.Bytes(n.addr)
+			f.start(n)
+		}
+		time.Sleep(time.Second)
+		f.requireInForce(1)
+		for _, n := range f.nodes {
+			if sent := f.net.Bytes(n.addr) - before[n.addr]; sent > vmLinkBytes/2 {
+				t.Errorf("%s, tier %d: %d bytes in the first second, more than half of its link", n.addr, n.syncPlan().tier, sent)
+			}
+		}
+		f.stopAll()
+	})
+}
+
 // storm accepts six versions a second for five seconds after from, each followed by during, and checks that each
 // is in force within the bound.
 func (f *syncFleet) storm(from int, during func(i int)) int {
--- a/mesh/syncplan.go
+++ b/mesh/syncplan.go
@@ -69,7 +69,9 @@
 		// One copy of a change is enough for a data centre.
 		return syncPlan{tier: relay, parents: append(addrs(relays[:1]), addrs(without(roots, relays[0].Addr))...)}
 	}
-	return syncPlan{tier: follower, parents: addrs(relays)}
+	// Each relay feeds half of the followers.
+	parents, _ := takeTop(relays, len(relays), string(self.Addr))
+	return syncPlan{tier: follower, parents: addrs(parents)}
 }
 
 // takeRelays returns the relays of a data centre, with the roots that are in it first.
