--- a/mesh/gossip.go
+++ b/mesh/gossip.go
@@ -169,7 +169,7 @@
 
 // requestState requests the state of another daemon if neither the store nor a parent has delivered it for a while.
 func (n *Node) requestState() {
-	if time.Since(n.started) < followerPatience || n.subs.age() < followerPatience {
+	if time.Since(n.started) < followerMaxAge || n.subs.age() < followerMaxAge {
 		return
 	}
 	n.mu.Lock()
--- a/mesh/storeloop.go
+++ b/mesh/storeloop.go
@@ -158,7 +158,7 @@
 		return 0, true
 	}
 	age := n.subs.age()
-	return age, age < followerPatience
+	return age, age < followerMaxAge
 }
 
 // watchReplyMargin is how late the reply to a watch may arrive after its wait.
--- a/mesh/subscriptions.go
+++ b/mesh/subscriptions.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -12,16 +13,16 @@
 const (
 	// confirmInterval is how often a daemon tells its followers how current its state is.
 	confirmInterval = 400 * time.Millisecond
-	// relayPatience is the age of the last confirmation after which a relay reads the store itself. More than
+	// relayMaxAge is the age of the last confirmation after which a relay reads the store itself. More than
 	// half of the shortest time is left in which a configuration must be in force (2.5 s).
-	relayPatience = 1200 * time.Millisecond
-	// followerPatience is the same for a follower. It is longer, so that the relays of its data centre read the
+	relayMaxAge = 1200 * time.Millisecond
+	// followerMaxAge is the same for a follower. It is longer, so that the relays of its data centre read the
 	// store first and confirm their state to it.
-	followerPatience = 1600 * time.Millisecond
-	// behindPatience is how long the first parent may lack changes that another one has.
-	behindPatience = 600 * time.Millisecond
-	// unavailablePatience is the same for a follower whose parents are there, but do not reach the store either.
-	unavailablePatience = 2800 * time.Millisecond
+	followerMaxAge = 1600 * time.Millisecond
+	// unavailableMaxAge is the same for a follower whose parents are there, but do not reach the store either.
+	unavailableMaxAge = 2800 * time.Millisecond
+	// behindTimeout is how long the first parent may lack changes that another one has.
+	behindTimeout = 600 * time.Millisecond
 	// planInterval is how often a daemon checks which daemons it follows.
 	planInterval = 100 * time.Millisecond
 	// avoidTime is how long a daemon that could not be reached is passed over as a parent.
@@ -43,7 +44,7 @@
 	mu        sync.Mutex
 	following map[*link.Conn]*subscription
 	opening   map[ident.Addr]bool
-	followers map[*link.Conn]bool      // true: gets only confirmations
+	followers map[*link.Conn]bool      // the value tells whether it gets only confirmations
 	avoid     map[ident.Addr]time.Time // parents that could not be reached, and until when they are passed over
 	confirmed time.Time                // the state is that of the store at this time
 	lost      chan struct{}            // signals that the last link to a parent is gone
@@ -90,7 +91,7 @@
 }
 
 // recordBehind records whether a confirmation over c shows that this daemon's state lacks changes, and reports
-// whether that has been so for behindPatience. The parent is then asked for its state.
+// whether that has been so for behindTimeout. The parent is then asked for its state.
 func (s *subscriptions) recordBehind(c *link.Conn, behind bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -101,7 +102,7 @@
 		sub.behindSince = time.Time{}
 	case sub.behindSince.IsZero():
 		sub.behindSince = now
-	case now.Sub(sub.behindSince) > behindPatience:
+	case now.Sub(sub.behindSince) > behindTimeout:
 		sub.brief, sub.behindSince = false, time.Time{}
 		return true
 	}
@@ -169,18 +170,18 @@
 	s.avoid[a], s.planExpiry = time.Now().Add(avoidTime), time.Time{}
 }
 
-// patience returns the age of the last confirmation after which this daemon reads the store itself.
-func (n *Node) patience() time.Duration {
+// maxStateAge returns the age of the last confirmation after which this daemon reads the store itself.
+func (n *Node) maxStateAge() time.Duration {
 	switch n.syncPlan().tier {
 	case root:
 		return 0
 	case relay:
-		return relayPatience
+		return relayMaxAge
 	default:
 		if n.subs.hasParent() {
-			return unavailablePatience
+			return unavailableMaxAge
 		}
-		return followerPatience
+		return followerMaxAge
 	}
 }
 
@@ -197,7 +198,7 @@
 }
 
 // confirmationLeft returns how much longer this daemon relies on its parents; zero if it has to read the store.
-func (n *Node) confirmationLeft() time.Duration { return max(0, n.patience()-n.subs.age()) }
+func (n *Node) confirmationLeft() time.Duration { return max(0, n.maxStateAge()-n.subs.age()) }
 
 // maintainSubscriptions keeps links to the parents open, and tells followers how current this daemon's state is.
 func (n *Node) maintainSubscriptions() {
@@ -235,13 +236,13 @@
 	s := n.subs
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	settled := plan.tier == root
+	hasFullParent := plan.tier == root
 	subscribed := map[ident.Addr]bool{}
 	now := time.Now()
 	for c, sub := range s.following {
 		subscribed[sub.addr] = true
-		settled = settled || (sub.full && isParent(plan, sub.addr))
-		if now.Sub(sub.notice) > followerPatience { // confirmations are due more often
+		hasFullParent = hasFullParent || (sub.full && slices.Contains(plan.parents, sub.addr))
+		if now.Sub(sub.notice) > followerMaxAge { // confirmations are due more often
 			c.MarkSilent()
 			delete(s.following, c)
 			s.avoid[sub.addr], s.planExpiry = now.Add(avoidTime), time.Time{}
@@ -256,26 +257,17 @@
 	if len(plan.parents) > 0 {
 		n.upgradeFirst(plan.parents[0])
 	}
-	if !settled {
-		return
+	if !hasFullParent {
+		return // others are left only when the new parents have sent their state
 	}
 	for c, sub := range s.following {
-		if !isParent(plan, sub.addr) {
+		if !slices.Contains(plan.parents, sub.addr) {
 			delete(s.following, c)
 			n.notify(c, &notice{Unsubscribe: true, Version: n.Version()})
 		}
 	}
 }
 
-func isParent(plan syncPlan, a ident.Addr) bool {
-	for _, p := range plan.parents {
-		if p == a {
-			return true
-		}
-	}
-	return false
-}
-
 // upgradeFirst requests all changes from the first parent, which may have been another one before. The caller holds
 // n.subs.mu.
 func (n *Node) upgradeFirst(a ident.Addr) {
@@ -346,8 +338,8 @@
 // notifyFollowers sends changes to the followers that want them.
 func (n *Node) notifyFollowers(m *notice) { n.sendFollowers(m, false) }
 
-// sendFollowers sends m to the followers, to the brief ones only if it is a confirmation. A follower that does not read its link is disconnected: it has missed
-// a change, and gets the full state when it subscribes again.
+// sendFollowers sends m to the followers, to the brief ones only if it is a confirmation. A follower that does not
+// read its link is disconnected: it has missed a change, and gets the full state when it subscribes again.
 func (n *Node) sendFollowers(m *notice, confirmation bool) {
 	b, err := m.encode()
 	if err != nil {
