origin, link: Make two tests independent of the machine's speed

TestEndlessAnswers bounded the time for 7 MB in chunks of 4 bytes under the race detector by 1 s of a deadline of 2 s, and took 2.1 s: the request now has a minute, and has to end in its first half. Both guard against the same failures as before.

--- a/link/confirm_test.go
+++ b/link/confirm_test.go
@@ -1,7 +1,6 @@
 package link
 
 import (
-	"io"
 	"testing"
 	"time"
 
@@ -37,11 +36,8 @@
 		is.True(!<-done)
 	}
 	is.True(time.Since(began) < 5*time.Second)
-	go func() { _, _ = io.Copy(io.Discard, b) }()
-	go func() { done <- c.Confirm(t.Context(), 0, 5*time.Second) }()
-	pong, err := frame{Kind: kindPong}.encode()
-	is.NoErr(err)
-	_, err = b.Write(pong)
-	is.NoErr(err)
-	is.True(<-done)
+	other := New(b, Handlers{}) // answers the earlier pings late, and later ones at once
+	go func() { _ = other.Serve() }()
+	defer other.Close()
+	is.True(c.Confirm(t.Context(), 0, 5*time.Second))
 }
--- a/origin/endless_test.go
+++ b/origin/endless_test.go
@@ -86,11 +86,12 @@
 			is := is.New(t)
 			c := New(Deps{Addr: endless(t, tt.prefix, tt.part), Names: testNames})
 			defer c.Close()
-			began := time.Now()
+			r := newRequest("r1")
+			r.Deadline = time.Now().Add(time.Minute)
 			var err error
-			n := allocatedBytes(func() { _, err = c.Do(t.Context(), newRequest("r1"), true) })
-			is.True(errors.Is(err, ErrLost)) // the request may have run
-			is.True(time.Since(began) < time.Second)
+			n := allocatedBytes(func() { _, err = c.Do(t.Context(), r, true) })
+			is.True(errors.Is(err, ErrLost))                 // the request may have run
+			is.True(time.Until(r.Deadline) > 30*time.Second) // the limits end it, not the deadline
 			if n > tt.most {
 				t.Errorf("allocated %d bytes, limit %d", n, tt.most)
 			}
