--- a/accept/repair_test.go
+++ b/accept/repair_test.go
@@ -189,6 +189,7 @@
 					}()
 				}
 				err1, err2 := <-errs, <-errs
+				t.Logf("errors of the two repairs: %v; %v", err1, err2)
 				is.True((err1 == nil) != (err2 == nil))
 				is.True(errors.Is(errors.Join(err1, err2), ErrHeadIntact)) // the loser finds the head repaired
 				is.Equal(b.head(t).Version, plan.Version)
