--- a/audit/account.go
+++ b/audit/account.go
@@ -6,7 +6,6 @@
 	"cmp"
 	"fmt"
 	"io"
-	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -202,8 +201,9 @@
 	for k, n := range c.attempts {
 		sums[Attempt{Distance: c.distance(k.vm, k.addr), Outcome: k.outcome}] += n
 	}
-	for _, k := range slices.Collect(maps.Keys(sums)) {
-		a.Attempts = append(a.Attempts, Attempt{Distance: k.Distance, Outcome: k.Outcome, Attempts: sums[k]})
+	for k, n := range sums {
+		k.Attempts = n
+		a.Attempts = append(a.Attempts, k)
 	}
 	slices.SortFunc(a.Attempts, func(x, y Attempt) int {
 		return cmp.Or(cmp.Compare(y.Attempts, x.Attempts), cmp.Compare(x.Distance, y.Distance), cmp.Compare(x.Outcome, y.Outcome))
--- a/mesh/document.go
+++ b/mesh/document.go
@@ -104,11 +104,10 @@
 		b, err := wire.CompressDelta(before.raw, doc.raw)
 		if err != nil {
 			n.d.Log.Emit(event.CallUnencodable, "Error", err)
-			b = nil
-		}
-		if m.Base, m.Config = before.version, b; b == nil {
-			m.Base, m.Config = 0, doc.compress()
+			m.Config = doc.compress()
+			break
 		}
+		m.Base, m.Config = before.version, b
 	}
 	n.d.Stats.Add("Config.BytesToFollowers", int64(len(m.Config)))
 	return m
--- a/mesh/gossip.go
+++ b/mesh/gossip.go
@@ -107,13 +107,10 @@
 
 // confirmState records how current the state is that a parent sent. The first complete state is passed on in out.
 func (n *Node) confirmState(c *link.Conn, m, out *notice) {
-	if m.Full {
-		n.subs.markFull(c)
-	}
 	if m.Full && n.asOf == 0 {
 		out.Full, out.Peers = true, n.peers.all("")
 	}
-	if n.subs.isFull(c) {
+	if n.subs.recordState(c, m.Full) {
 		n.asOf = max(n.asOf, m.AsOf)
 	}
 	behind := m.AsOf > n.asOf || m.Version > n.Version()
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -49,7 +49,7 @@
 type Node struct {
 	d           Deps
 	incarnation ident.Incarnation
-	started     time.Time
+	started     time.Time // on the steady clock; incarnation is from the clock of Deps.Now
 	table       atomic.Pointer[table.Table]
 	peers       *peerList
 	board       *route.LoadTable
--- a/mesh/peerlist.go
+++ b/mesh/peerlist.go
@@ -19,7 +19,7 @@
 	generation atomic.Uint64
 }
 
-// peerEntry is a peer and where it is known from. It is removed when neither the store nor a link has it.
+// peerEntry is a peer and where it is known from. It is removed missingTime after neither the store nor a link has it.
 type peerEntry struct {
 	Peer
 	revision int64 // of its key in the store; zero: not in the store
--- a/mesh/storeloop.go
+++ b/mesh/storeloop.go
@@ -69,7 +69,7 @@
 const resumeAge = 15 * time.Second
 
 // resumeRevision returns the revision from which to watch after the store was unavailable; zero if the whole state
-// has to be read. Otherwise all daemons would read the whole configuration when the store is back.
+// has to be read. It spares the links when the store is back and all daemons that lost their parents read it.
 func (n *Node) resumeRevision() int64 {
 	n.stateMu.Lock()
 	defer n.stateMu.Unlock()
@@ -93,7 +93,7 @@
 		for _, v := range values {
 			n.applyValue(v)
 		}
-		if len(n.peers.list()) > 1 || time.Until(end) < staleRetryInterval {
+		if n.peers.daemons() > 1 || time.Until(end) < staleRetryInterval {
 			break
 		}
 		// All daemons may have just started, so that none has written its entry yet.
--- a/mesh/subscriptions.go
+++ b/mesh/subscriptions.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/marjoramcroft/marjoramcroft/event"
 	"github.com/marjoramcroft/marjoramcroft/ident"
 	"github.com/marjoramcroft/marjoramcroft/link"
 )
@@ -21,6 +20,8 @@
 	followerMaxAge = 1600 * time.Millisecond
 	// unavailableMaxAge is the same for a follower whose parents are there, but do not reach the store either.
 	unavailableMaxAge = 2800 * time.Millisecond
+	// parentTimeout is the silence after which a parent counts as gone; some confirmations may be late or lost.
+	parentTimeout = 4 * confirmInterval
 	// behindTimeout is how long the first parent may lack changes that another one has.
 	behindTimeout = 600 * time.Millisecond
 	// planInterval is how often a daemon checks which daemons it follows.
@@ -73,21 +74,17 @@
 	return true
 }
 
-// markFull records that a followed daemon has sent its full state.
-func (s *subscriptions) markFull(c *link.Conn) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if sub := s.following[c]; sub != nil {
-		sub.full = true
-	}
-}
-
-// isFull reports whether the followed daemon at the other end of c has sent its full state.
-func (s *subscriptions) isFull(c *link.Conn) bool {
+// recordState records whether a notice over c holds the full state of a followed daemon, and reports whether that
+// daemon has sent it, now or before.
+func (s *subscriptions) recordState(c *link.Conn, full bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	sub := s.following[c]
-	return sub != nil && sub.full
+	if sub == nil {
+		return false
+	}
+	sub.full = sub.full || full
+	return sub.full
 }
 
 // recordBehind records whether a confirmation over c shows that this daemon's state lacks changes, and reports
@@ -225,12 +222,6 @@
 	}
 }
 
-// confirmation returns a notice that tells how current this daemon's state is. The caller holds n.stateMu.
-func (n *Node) confirmation() *notice {
-	age, ok := n.stateAge()
-	return &notice{UpToDate: ok, Age: age, Version: n.Version(), AsOf: n.asOf}
-}
-
 // followParents subscribes to the daemons of plan and leaves others.
 func (n *Node) followParents(plan syncPlan) {
 	s := n.subs
@@ -242,7 +233,7 @@
 	for c, sub := range s.following {
 		subscribed[sub.addr] = true
 		hasFullParent = hasFullParent || (sub.full && slices.Contains(plan.parents, sub.addr))
-		if now.Sub(sub.notice) > followerMaxAge { // confirmations are due more often
+		if now.Sub(sub.notice) > parentTimeout {
 			c.MarkSilent()
 			delete(s.following, c)
 			s.avoid[sub.addr], s.planExpiry = now.Add(avoidTime), time.Time{}
@@ -300,58 +291,3 @@
 		n.notify(c, &notice{Subscribe: true, Brief: brief, Version: n.Version()})
 	}
 }
-
-// addFollower registers a follower for all later changes and sends it the current state, unless it needs only
-// confirmations. A daemon that has no state yet sends it as soon as it has received it.
-func (n *Node) addFollower(c *link.Conn, m *notice) {
-	n.subs.mu.Lock()
-	n.subs.followers[c] = m.Brief
-	n.subs.mu.Unlock()
-	n.stateMu.Lock()
-	hasState := n.asOf > 0 || n.Version() > m.Version
-	n.stateMu.Unlock()
-	if !m.Brief && hasState {
-		n.sendState(c, m.Version)
-	}
-}
-
-func (n *Node) removeFollower(c *link.Conn) {
-	n.subs.mu.Lock()
-	defer n.subs.mu.Unlock()
-	delete(n.subs.followers, c)
-}
-
-func (n *Node) hasFollowers() bool {
-	n.subs.mu.Lock()
-	defer n.subs.mu.Unlock()
-	for _, brief := range n.subs.followers {
-		if !brief {
-			return true
-		}
-	}
-	return false
-}
-
-// confirmFollowers tells all followers how current this daemon's state is. The caller holds n.stateMu.
-func (n *Node) confirmFollowers() { n.sendFollowers(n.confirmation(), true) }
-
-// notifyFollowers sends changes to the followers that want them.
-func (n *Node) notifyFollowers(m *notice) { n.sendFollowers(m, false) }
-
-// sendFollowers sends m to the followers, to the brief ones only if it is a confirmation. A follower that does not
-// read its link is disconnected: it has missed a change, and gets the full state when it subscribes again.
-func (n *Node) sendFollowers(m *notice, confirmation bool) {
-	b, err := m.encode()
-	if err != nil {
-		n.d.Log.Emit(event.CallUnencodable, "Error", err)
-		return
-	}
-	n.subs.mu.Lock()
-	defer n.subs.mu.Unlock()
-	for c, brief := range n.subs.followers {
-		if (confirmation || !brief) && !c.Notify(b) {
-			delete(n.subs.followers, c)
-			go c.Close()
-		}
-	}
-}
--- a/mesh/syncplan.go
+++ b/mesh/syncplan.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"slices"
 	"time"
 
 	"github.com/marjoramcroft/marjoramcroft/ident"
@@ -94,12 +95,7 @@
 func takeRoots(list []Peer) (roots, rest []Peer) {
 	roots, rest = takeTop(list, 1, rootKey)
 	for len(roots) < rootCount && len(rest) > 0 {
-		var elsewhere []Peer
-		for _, p := range rest {
-			if p.Place != roots[0].Place {
-				elsewhere = append(elsewhere, p)
-			}
-		}
+		elsewhere := slices.DeleteFunc(slices.Clone(rest), func(p Peer) bool { return p.Place == roots[0].Place })
 		if len(elsewhere) == 0 {
 			elsewhere = rest
 		}
@@ -128,22 +124,11 @@
 }
 
 func without(list []Peer, a ident.Addr) []Peer {
-	out := make([]Peer, 0, len(list))
-	for _, p := range list {
-		if p.Addr != a {
-			out = append(out, p)
-		}
-	}
-	return out
+	return slices.DeleteFunc(slices.Clone(list), func(p Peer) bool { return p.Addr == a })
 }
 
 func contains(list []Peer, a ident.Addr) bool {
-	for _, p := range list {
-		if p.Addr == a {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(list, func(p Peer) bool { return p.Addr == a })
 }
 
 func addrs(list []Peer) []ident.Addr {
--- a/wire/delta.go
+++ b/wire/delta.go
@@ -28,8 +28,8 @@
 	return out, enc.Close() //nolint:wrapcheck // without a writer, Close does not fail
 }
 
-// DecompressDelta decompresses the output of CompressDelta. It fails if base is not the one that was used: the
-// output has a checksum.
+// DecompressDelta decompresses the output of CompressDelta. It fails if another base leads to another result, which
+// has a checksum.
 func DecompressDelta(base, b []byte) ([]byte, error) {
 	dec, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true),
 		zstd.WithDecoderMaxMemory(MaxDecompressedBytes), zstd.WithDecoderDictRaw(deltaDictID, base))
