--- a/emul/store.go
+++ b/emul/store.go
@@ -18,6 +18,7 @@
 
 	mu            sync.Mutex
 	revision      int64
+	era           int64 // rises with each Restore
 	keys          map[string]entry
 	log           []change
 	compacted     int64 // changes up to this revision are not in log
@@ -68,6 +69,7 @@
 func NewStore(cfg StoreConfig) *Store {
 	return &Store{
 		cfg:           cfg,
+		era:           1,
 		reads:         newLimiter(cfg.ReadRate, cfg.Burst),
 		writes:        newLimiter(cfg.WriteRate, cfg.Burst),
 		keys:          map[string]entry{},
--- a/emul/storedriver.go
+++ b/emul/storedriver.go
@@ -109,7 +109,11 @@
 	defer s.mu.Unlock()
 	s.watching++
 	defer func() { s.watching-- }()
+	era := s.era
 	for {
+		if s.era != era {
+			return store.Value{}, fmt.Errorf("%w: watch broken", store.ErrUnavailable)
+		}
 		if s.outage == NoOutage {
 			cur := value(key, s.keys[key])
 			if cur.Revision > after || (cur.Revision == 0 && after > 0) {
--- a/emul/storefollow.go
+++ b/emul/storefollow.go
@@ -32,11 +32,12 @@
 	defer s.mu.Unlock()
 	s.watching++
 	defer func() { s.watching-- }()
+	era := s.era
 	for {
-		if s.outage == Rejecting {
+		if s.outage == Rejecting || s.era != era {
 			return nil, after, fmt.Errorf("%w: watch broken", store.ErrUnavailable)
 		}
-		if after < s.compacted {
+		if after < s.compacted || after > s.revision {
 			return nil, after, fmt.Errorf("%w: %d", store.ErrCompacted, after)
 		}
 		if out := s.changesSince(prefix, after); len(out) > 0 && s.outage == NoOutage {
--- a/emul/storehttp.go
+++ b/emul/storehttp.go
@@ -196,7 +196,11 @@
 	if !s.unlocked(func() bool { return send(store.GatewayWatchResult{Created: true}) }) {
 		return
 	}
+	era := s.era
 	for {
+		if s.era != era {
+			return
+		}
 		res := store.GatewayWatchResult{Header: store.GatewayHeader{Revision: s.revision}}
 		if next <= s.compacted {
 			res.Canceled, res.CompactRevision = true, s.compacted
