mesh: Forget a lost daemon that had opened the link

A daemon that was killed stayed a server for its parents for good, with "serves true" at the root and the relay that it had followed: a daemon counts as linked from the first state that it sends over a link, but only the end of a link that this daemon had opened itself ended that. Calls kept trying it.

Each link now records which daemon is at its other end, and the end of the last one in either direction ends it. Found by a test of the restored store.

--- a/mesh/gossip.go
+++ b/mesh/gossip.go
@@ -32,6 +32,7 @@
 		return
 	}
 	if m.Self != nil && m.Self.Addr != n.d.Self {
+		n.identifyConn(c, m.Self.Addr)
 		n.returnDeparture(c, m.Self)
 		n.updatePeer(*m.Self, true)
 	}
--- a/mesh/links.go
+++ b/mesh/links.go
@@ -141,7 +141,6 @@
 	}
 	n.links.mu.Unlock()
 	if last {
-		n.peers.clearLinked(addr)
 		n.reconnect(addr)
 	}
 }
@@ -178,14 +177,36 @@
 // serveLink serves an incoming or outgoing link until it is closed.
 func (n *Node) serveLink(c *link.Conn) {
 	n.mu.Lock()
-	n.conns[c] = struct{}{}
+	n.conns[c] = ""
 	n.mu.Unlock()
 	n.sendHello(c)
 	_ = c.Serve() // the error is ignored: the other daemon may have stopped
+	n.removeConn(c)
+	n.subs.removeLink(c)
+}
+
+// removeConn forgets a closed link. Its daemon counts as linked while another link to it is open, whichever of the
+// two daemons opened that.
+func (n *Node) removeConn(c *link.Conn) {
 	n.mu.Lock()
+	defer n.mu.Unlock()
+	addr := n.conns[c]
 	delete(n.conns, c)
-	n.mu.Unlock()
-	n.subs.removeLink(c)
+	for _, a := range n.conns {
+		if a == addr {
+			return
+		}
+	}
+	n.peers.clearLinked(addr)
+}
+
+// identifyConn records the daemon at the other end of a link.
+func (n *Node) identifyConn(c *link.Conn, addr ident.Addr) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if _, ok := n.conns[c]; ok {
+		n.conns[c] = addr
+	}
 }
 
 // ServeLinks accepts links from other daemons until the listener is closed.
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -84,8 +84,8 @@
 	server   *localServer // beside the daemon; nil: none is known. Replaced, never modified.
 	departed *Server      // process that had left before this daemon started; nil: none is known
 	seq      int64
-	doc      *document // the configuration in force; nil: none
-	conns    map[*link.Conn]struct{}
+	doc      *document                 // the configuration in force; nil: none
+	conns    map[*link.Conn]ident.Addr // the daemon at the other end; empty until it has sent its state
 	entry    ownEntry
 	// storeLatency is the shortest call to the store so far; zero: none has succeeded.
 	storeLatency time.Duration
@@ -103,7 +103,7 @@
 		bodies: origin.NewBodyBudget(d.Config.BodyMemory),
 		links:  links{open: map[ident.Addr]*pendingLink{}},
 		subs:   newSubscriptions(),
-		conns:  map[*link.Conn]struct{}{}, entryOutdated: make(chan struct{}, 1), newerVersion: make(chan struct{}, 1),
+		conns:  map[*link.Conn]ident.Addr{}, entryOutdated: make(chan struct{}, 1), newerVersion: make(chan struct{}, 1),
 	}
 	n.retries = retry.NewSharedBudget(d.Config.Retries, n.peers.daemons, d.Now)
 	n.ctx, n.stop = context.WithCancel(context.Background())
