store, mesh: Order the store's changes by era and revision

What callers see after the store came back from a copy: a configuration that was accepted while the readers were not yet back is not in force, daemons that restarted are not used, and lost ones are.

Cause: daemons ordered everything that they read by the store's revision (state read so far, entries, removals, the own entry, notices to each other). After a restore the revisions start again at that of the copy, so that new changes counted as old. A watch from the old revision succeeds once the store has passed it again, so not even a 410 told the reader. A lease id is given out again as well: a daemon renewed the lease of another one for good.

The store states in each answer how often it was restored (Store-Era). A driver takes it with each value; store.Position, an era and a revision, takes the place of the revision in all of the above and in notices. A watch from another era counts as compacted. Entries that a restore brings back do not count until their daemons have written them in the new era: they are ignored if their removal was known, else forgotten like other missing ones. Stale reads, which may be from before a restore, no longer order anything.

The contract of drivers has a case for it; its comparison of an absent key takes the era in.

--- a/emul/store.go
+++ b/emul/store.go
@@ -18,7 +18,7 @@
 
 	mu            sync.Mutex
 	revision      int64
-	era           int64 // rises with each Restore
+	era           store.Era // rises with each Restore
 	keys          map[string]entry
 	log           []change
 	compacted     int64 // changes up to this revision are not in log
@@ -100,7 +100,7 @@
 		l.keys[key] = struct{}{}
 	}
 	s.recordChange(change{key: key, entry: e})
-	return value(key, e)
+	return s.value(key, e)
 }
 
 // remove deletes an existing key. The caller holds mu.
@@ -124,7 +124,7 @@
 		s.log = slices.Delete(s.log, 0, n)
 	}
 	if s.onChange != nil {
-		s.onChange(value(c.key, c.visible()))
+		s.onChange(s.value(c.key, c.visible()))
 	}
 	for _, key := range []string{c.key, anyKey} {
 		if ch, ok := s.waiters[key]; ok {
@@ -144,6 +144,10 @@
 	return ch
 }
 
-func value(key string, e entry) store.Value {
-	return store.Value{Key: key, Data: slices.Clone(e.data), Revision: e.revision}
+// value returns the value of a key with the entry e. The caller holds mu.
+func (s *Store) value(key string, e entry) store.Value {
+	return store.Value{Key: key, Data: slices.Clone(e.data), Revision: e.revision, Era: s.era}
 }
+
+// position returns the position of the last change. The caller holds mu.
+func (s *Store) position() store.Position { return store.Position{Era: s.era, Revision: s.revision} }
--- a/emul/store_test.go
+++ b/emul/store_test.go
@@ -30,7 +30,7 @@
 		is := is.New(t)
 		v, err := d.Get(t.Context(), "a")
 		is.NoErr(err)
-		is.Equal(v, store.Value{Key: "a"})
+		is.Equal(v, store.Value{Key: "a", Era: eraOf(d)})
 	},
 	"swap of an outdated revision writes nothing and returns the current value": func(t *testing.T, _ *Store, d store.Driver) {
 		is := is.New(t)
@@ -165,7 +165,7 @@
 		_, err = d.Swap(t.Context(), "other", 0, nil, 0)
 		is.NoErr(err)
 		is.NoErr(d.Delete(t.Context(), "a", 0))
-		is.Equal((<-got).v, store.Value{Key: "a"})
+		is.Equal((<-got).v, store.Value{Key: "a", Era: eraOf(d)})
 	},
 	"watch of a deleted key returns at once": func(t *testing.T, _ *Store, d store.Driver) {
 		is := is.New(t)
@@ -278,3 +278,11 @@
 	is.True(slices.IndexFunc(got, func(err error) bool { return errors.Is(err, store.ErrUnavailable) }) == 2)
 	is.Equal(s.Counts()["Get"], int64(3)) // rejected calls are counted, too
 }
+
+// eraOf returns the era that d states; zero if it states none.
+func eraOf(d store.Driver) store.Era {
+	if d.Era == nil {
+		return 0
+	}
+	return d.Era()
+}
--- a/emul/storedriver.go
+++ b/emul/storedriver.go
@@ -17,11 +17,50 @@
 // errNoAnswer marks a write whose answer is never sent; its caller waits until its context ends.
 var errNoAnswer = errors.New("no answer")
 
-// Driver returns a driver that calls s directly.
+// Driver returns a driver that calls s directly. It knows the store's era from the answers to its own calls.
 func (s *Store) Driver() store.Driver {
+	var eras store.EraTracker
+	answered := func(err error) error {
+		if err == nil || errors.Is(err, store.ErrConflict) || errors.Is(err, store.ErrLeaseLost) || errors.Is(err, store.ErrCompacted) {
+			eras.Observe(s.Era())
+		}
+		return err
+	}
 	return store.Driver{
-		Get: s.get, List: s.list, Swap: s.swap, Delete: s.deleteKey,
-		Grant: s.grantLease, Renew: s.renewLease, Revoke: s.revokeLease, Watch: s.watch, Snapshot: s.snapshot, Follow: s.follow,
+		Get: func(ctx context.Context, key string) (store.Value, error) {
+			v, err := s.get(ctx, key)
+			return v, answered(err)
+		},
+		List: func(ctx context.Context, prefix string) ([]store.Value, error) {
+			vs, err := s.list(ctx, prefix)
+			return vs, answered(err)
+		},
+		Swap: func(ctx context.Context, key string, revision int64, data []byte, id store.LeaseID) (store.Value, error) {
+			v, err := s.swap(ctx, key, revision, data, id)
+			return v, answered(err)
+		},
+		Delete: func(ctx context.Context, key string, revision int64) error {
+			return answered(s.deleteKey(ctx, key, revision))
+		},
+		Grant: func(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
+			id, err := s.grantLease(ctx, ttl)
+			return id, answered(err)
+		},
+		Renew:  func(ctx context.Context, id store.LeaseID) error { return answered(s.renewLease(ctx, id)) },
+		Revoke: func(ctx context.Context, id store.LeaseID) error { return answered(s.revokeLease(ctx, id)) },
+		Watch: func(ctx context.Context, key string, after int64) (store.Value, error) {
+			v, err := s.watch(ctx, key, after)
+			return v, answered(err)
+		},
+		Snapshot: func(ctx context.Context, prefix string) ([]store.Value, store.Position, error) {
+			vs, from, err := s.snapshot(ctx, prefix)
+			return vs, from, answered(err)
+		},
+		Follow: func(ctx context.Context, prefix string, after store.Position, wait time.Duration) ([]store.Change, store.Position, error) {
+			cs, next, err := s.follow(ctx, prefix, after, wait)
+			return cs, next, answered(err)
+		},
+		Era: eras.Era,
 	}
 }
 
@@ -31,7 +70,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return value(key, s.keys[key]), nil
+	return s.value(key, s.keys[key]), nil
 }
 
 func (s *Store) list(ctx context.Context, prefix string) ([]store.Value, error) {
@@ -43,7 +82,7 @@
 	var out []store.Value
 	for k, e := range s.keys {
 		if strings.HasPrefix(k, prefix) {
-			out = append(out, value(k, e))
+			out = append(out, s.value(k, e))
 		}
 	}
 	slices.SortFunc(out, func(a, b store.Value) int { return strings.Compare(a.Key, b.Key) })
@@ -56,7 +95,7 @@
 	}
 	data = slices.Clone(data)
 	return write(ctx, s, "Swap", key, func() (store.Value, error) {
-		cur := value(key, s.keys[key])
+		cur := s.value(key, s.keys[key])
 		if cur.Revision != revision {
 			return cur, fmt.Errorf("%w: key %s is at revision %d, not %d", store.ErrConflict, key, cur.Revision, revision)
 		}
@@ -115,7 +154,7 @@
 			return store.Value{}, fmt.Errorf("%w: watch broken", store.ErrUnavailable)
 		}
 		if s.outage == NoOutage {
-			cur := value(key, s.keys[key])
+			cur := s.value(key, s.keys[key])
 			if cur.Revision > after || (cur.Revision == 0 && after > 0) {
 				return cur, nil
 			}
--- a/emul/storefollow.go
+++ b/emul/storefollow.go
@@ -14,15 +14,18 @@
 // valid key of the store.
 const anyKey = ""
 
-func (s *Store) snapshot(ctx context.Context, prefix string) ([]store.Value, int64, error) {
+func (s *Store) snapshot(ctx context.Context, prefix string) ([]store.Value, store.Position, error) {
 	s.mu.Lock()
-	from := s.revision
+	from := s.position()
 	s.mu.Unlock()
 	values, err := s.list(ctx, prefix)
+	if err == nil && s.Era() != from.Era {
+		return nil, from, fmt.Errorf("%w: restored during the read", store.ErrUnavailable)
+	}
 	return values, from, err
 }
 
-func (s *Store) follow(ctx context.Context, prefix string, after int64, wait time.Duration) ([]store.Change, int64, error) {
+func (s *Store) follow(ctx context.Context, prefix string, after store.Position, wait time.Duration) ([]store.Change, store.Position, error) {
 	if err := s.admit(ctx, "Watch", s.reads); err != nil {
 		return nil, after, err
 	}
@@ -37,13 +40,13 @@
 		if s.outage == Rejecting || s.era != era {
 			return nil, after, fmt.Errorf("%w: watch broken", store.ErrUnavailable)
 		}
-		if after < s.compacted || after > s.revision {
-			return nil, after, fmt.Errorf("%w: %d", store.ErrCompacted, after)
+		if after.Era != s.era || after.Revision < s.compacted || after.Revision > s.revision {
+			return nil, after, fmt.Errorf("%w: %s", store.ErrCompacted, after)
 		}
-		if out := s.changesSince(prefix, after); len(out) > 0 && s.outage == NoOutage {
-			return out, s.revision, nil
+		if out := s.changesSince(prefix, after.Revision); len(out) > 0 && s.outage == NoOutage {
+			return out, s.position(), nil
 		}
-		changed, outage, now := s.waiter(anyKey), s.outageChanged, s.revision
+		changed, outage, now := s.waiter(anyKey), s.outageChanged, s.position()
 		s.mu.Unlock()
 		var err error
 		timedOut := false
@@ -57,7 +60,7 @@
 		}
 		s.mu.Lock()
 		if err != nil || timedOut {
-			return nil, max(after, now), err
+			return nil, now, err
 		}
 	}
 }
@@ -68,7 +71,7 @@
 	for _, c := range s.log {
 		if c.entry.revision > after && strings.HasPrefix(c.key, prefix) {
 			out = append(out, store.Change{
-				Value: store.Value{Key: c.key, Data: slices.Clone(c.entry.data), Revision: c.entry.revision}, Deleted: c.deleted,
+				Value: store.Value{Key: c.key, Data: slices.Clone(c.entry.data), Revision: c.entry.revision, Era: s.era}, Deleted: c.deleted,
 			})
 		}
 	}
--- a/emul/storefollow_test.go
+++ b/emul/storefollow_test.go
@@ -44,6 +44,6 @@
 	is.Equal(seen, map[string]bool{"a/1": true, "a/2": false})
 
 	s.Compact()
-	_, _, err = d.Follow(ctx, "a/", 1, time.Second)
+	_, _, err = d.Follow(ctx, "a/", store.Position{Era: 1, Revision: 1}, time.Second)
 	is.True(errors.Is(err, store.ErrCompacted))
 }
--- a/emul/storeinspect.go
+++ b/emul/storeinspect.go
@@ -50,7 +50,7 @@
 func (s *Store) Peek(key string) store.Value {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return value(key, s.keys[key])
+	return s.value(key, s.keys[key])
 }
 
 // OnChange calls f after each change of a key, in the order of revisions. A deleted key has
--- a/emul/storerestore.go
+++ b/emul/storerestore.go
@@ -60,8 +60,8 @@
 	}
 }
 
-// Era returns how often the store was restored, from 1 for never.
-func (s *Store) Era() int64 {
+// Era returns the present era; it is 1 until the first Restore.
+func (s *Store) Era() store.Era {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.era
--- a/emul/storerestore_test.go
+++ b/emul/storerestore_test.go
@@ -31,18 +31,21 @@
 		is.NoErr(err)
 		broken := make(chan error)
 		go func() {
-			_, _, err := d.Follow(ctx, "", b.Revision, time.Minute)
+			_, _, err := d.Follow(ctx, "", b.Position(), time.Minute)
 			broken <- err
 		}()
 		synctest.Wait()
 		time.Sleep(9 * time.Second)
 		s.Restore(c)
 		is.True(errors.Is(<-broken, store.ErrUnavailable))
-		is.Equal(s.Era(), int64(2))
-		is.Equal(s.Peek("a"), a)
+		is.Equal(s.Era(), store.Era(2))
+		is.Equal(s.Peek("a").Data, a.Data)
+		is.Equal(s.Peek("a").Revision, a.Revision)
 		is.Equal(s.Peek("b").Revision, int64(0))
-		_, _, err = d.Follow(ctx, "", b.Revision, time.Second)
+		_, _, err = d.Follow(ctx, "", store.Position{Era: 2, Revision: b.Revision}, time.Second)
 		is.True(errors.Is(err, store.ErrCompacted)) // a revision that the store does not have
+		_, _, err = d.Follow(ctx, "", a.Position(), time.Second)
+		is.True(errors.Is(err, store.ErrCompacted)) // a revision of another era
 		is.True(errors.Is(d.Renew(ctx, lost), store.ErrLeaseLost))
 
 		again, err := d.Grant(ctx, 10*time.Second)
--- a/event/mesh.go
+++ b/event/mesh.go
@@ -24,6 +24,7 @@
 	EntryUnreadable      ID = 825
 	LeaseEnded           ID = 826
 	LeaveIncomplete      ID = 827
+	StoreRestored        ID = 828
 	NodeStarted          ID = 830
 	NodeStopping         ID = 831
 	NodeStopped          ID = 832
@@ -55,6 +56,7 @@
 	EntryUnreadable:      {log.WarnLevel, "entry in the store cannot be read"},
 	LeaseEnded:           {log.WarnLevel, "lease of the own entry ended"},
 	LeaveIncomplete:      {log.WarnLevel, "own entry stays until its lease ends"},
+	StoreRestored:        {log.WarnLevel, "store was restored from a copy, the own entry is written again"},
 	NodeStarted:          {log.InfoLevel, "daemon started"},
 	NodeStopping:         {log.InfoLevel, "daemon stopping"},
 	NodeStopped:          {log.InfoLevel, "daemon stopped"},
--- a/mesh/followers.go
+++ b/mesh/followers.go
@@ -12,7 +12,7 @@
 	n.subs.followers[c] = m.Brief
 	n.subs.mu.Unlock()
 	n.stateMu.Lock()
-	hasState := n.asOf > 0 || n.Version() > m.Version
+	hasState := n.asOf.Revision > 0 || n.Version() > m.Version
 	n.stateMu.Unlock()
 	if !m.Brief && hasState {
 		n.sendState(c, m.Version)
@@ -63,5 +63,7 @@
 // confirmation returns a notice that tells how current this daemon's state is. The caller holds n.stateMu.
 func (n *Node) confirmation() *notice {
 	age, ok := n.stateAge()
-	return &notice{UpToDate: ok, Age: age, Version: n.Version(), AsOf: n.asOf}
+	m := &notice{UpToDate: ok, Age: age, Version: n.Version()}
+	m.setPosition(n.asOf)
+	return m
 }
--- a/mesh/gossip.go
+++ b/mesh/gossip.go
@@ -6,6 +6,7 @@
 	"github.com/marjoramcroft/marjoramcroft/event"
 	"github.com/marjoramcroft/marjoramcroft/ident"
 	"github.com/marjoramcroft/marjoramcroft/link"
+	"github.com/marjoramcroft/marjoramcroft/store"
 )
 
 // sendHello sends this daemon's own state and configuration version over a new link.
@@ -60,10 +61,11 @@
 }
 
 // applyState applies the part of a notice that originates from the store, and passes on to the followers what is
-// newer than the state so far. The store's revisions order all entries, so nothing is passed on twice, even among
+// newer than the state so far. The store's positions order all entries, so nothing is passed on twice, even among
 // daemons that follow each other.
 func (n *Node) applyState(c *link.Conn, m *notice) {
 	followed := n.subs.received(c)
+	n.observeEra(m.Era)
 	n.stateMu.Lock()
 	defer n.stateMu.Unlock()
 	var out notice
@@ -74,48 +76,49 @@
 			n.rememberDeparture(p.Peer)
 			continue
 		}
-		if n.applyEntry(p.Peer, p.Revision) {
+		if n.applyEntry(p.Peer, p.position()) {
 			out.Peers = append(out.Peers, p)
 		}
 	}
 	for _, g := range m.Gone {
-		if n.handleRemoval(g.Addr, g.Revision) {
+		if n.handleRemoval(g.Addr, g.position()) {
 			out.Gone = append(out.Gone, g)
 		}
 	}
 	if m.Full {
-		out.Gone = append(out.Gone, n.peers.removeAbsent(n.d.Self, present, m.AsOf)...)
+		out.Gone = append(out.Gone, n.peers.removeAbsent(n.d.Self, present, m.position())...)
 	}
 	n.applyConfig(c, m)
 	if followed {
 		n.confirmState(c, m, &out)
 	}
 	if len(out.Peers) > 0 || len(out.Gone) > 0 {
-		out.Version, out.AsOf = n.Version(), n.asOf
+		out.Version = n.Version()
+		out.setPosition(n.asOf)
 		n.notifyFollowers(&out)
 	}
 }
 
-// applyEntry applies the state of a daemon whose entry in the store has this revision, and reports whether the
-// revision is newer than what is known of the entry.
-func (n *Node) applyEntry(p Peer, revision int64) bool {
-	if revision > 0 && n.peers.isRemoved(p.Addr, revision) {
+// applyEntry applies the state of a daemon whose entry in the store is at this position, and reports whether that is
+// newer than what is known of the entry.
+func (n *Node) applyEntry(p Peer, at store.Position) bool {
+	if at.Revision > 0 && n.peers.isRemoved(&p, at) {
 		return false
 	}
 	n.updatePeer(p, false)
-	return n.peers.setStored(p.Addr, revision)
+	return n.peers.setStored(p.Addr, at)
 }
 
 // confirmState records how current the state is that a parent sent. The first complete state is passed on in out.
 func (n *Node) confirmState(c *link.Conn, m, out *notice) {
-	if m.Full && n.asOf == 0 {
+	if m.Full && n.asOf.Revision == 0 {
 		out.Full, out.Peers = true, n.peers.all("")
 	}
 	if n.subs.recordState(c, m.Full) {
-		n.asOf = max(n.asOf, m.AsOf)
+		n.asOf = n.asOf.Later(m.position())
 	}
-	behind := m.AsOf > n.asOf || m.Version > n.Version()
-	if m.UpToDate && !behind && n.asOf > 0 {
+	behind := m.position().After(n.asOf) || m.Version > n.Version()
+	if m.UpToDate && !behind && n.asOf.Revision > 0 {
 		n.subs.confirm(m.Age)
 	}
 	if n.subs.recordBehind(c, behind) {
@@ -123,14 +126,14 @@
 	}
 }
 
-// handleRemoval handles that the store does not hold the entry of the daemon at a at revision, and reports whether
+// handleRemoval handles that the store does not hold the entry of the daemon at a at a position, and reports whether
 // that is newer than what is known of the entry.
-func (n *Node) handleRemoval(a ident.Addr, revision int64) bool {
+func (n *Node) handleRemoval(a ident.Addr, at store.Position) bool {
 	if a == n.d.Self {
-		n.markEntryMissing(revision)
+		n.markEntryMissing(at)
 		return false
 	}
-	return n.peers.clearStored(a, revision)
+	return n.peers.clearStored(a, at)
 }
 
 // updatePeer merges the state of a peer. A new backend process resets the server's load statistics.
@@ -158,7 +161,7 @@
 	n.stateMu.Lock()
 	defer n.stateMu.Unlock()
 	m := n.confirmation()
-	m.Self, m.Peers, m.Full, m.AsOf = &self, n.peers.all(""), n.asOf > 0, n.asOf
+	m.Self, m.Peers, m.Full = &self, n.peers.all(""), n.asOf.Revision > 0
 	if doc := n.document(); doc != nil && has < doc.version {
 		m.Version, m.Config = doc.version, doc.compress()
 	}
@@ -218,17 +221,14 @@
 		n.notify(c, &notice{Self: &self, Version: n.Version()})
 	}
 	n.mu.Unlock()
-	select {
-	case n.entryOutdated <- struct{}{}:
-	default:
-	}
+	n.requestEntryWrite()
 }
 
 // self returns this daemon's state as sent to other daemons.
 func (n *Node) self() Peer {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	p := Peer{Addr: n.d.Self, Place: n.d.Place, Life: n.incarnation, Seq: n.seq, Stopping: n.stopping.Load(), StoreLatency: n.storeLatency}
+	p := Peer{Addr: n.d.Self, Place: n.d.Place, Life: n.incarnation, Seq: n.seq, Stopping: n.stopping.Load(), StoreLatency: n.storeLatency, Era: n.era}
 	if n.server != nil {
 		s := n.server.Server
 		p.Server = &s
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -8,6 +8,7 @@
 	"github.com/marjoramcroft/marjoramcroft/poison"
 	"github.com/marjoramcroft/marjoramcroft/refuse"
 	"github.com/marjoramcroft/marjoramcroft/route"
+	"github.com/marjoramcroft/marjoramcroft/store"
 	"github.com/marjoramcroft/marjoramcroft/wire"
 )
 
@@ -58,18 +59,36 @@
 	Version  ident.Version
 }
 
-// storedPeer is a daemon with the revision of its entry in the store; zero: it has none.
+// storedPeer is a daemon with the position of its entry in the store; revision zero: it has none.
 type storedPeer struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
 	Peer     Peer
 	Revision int64
+	Era      store.Era
 }
 
-// removedPeer is a daemon whose entry was absent from the store at Revision.
+func newStoredPeer(p Peer, at store.Position) storedPeer {
+	return storedPeer{Peer: p, Revision: at.Revision, Era: at.Era}
+}
+
+func (p *storedPeer) position() store.Position {
+	return store.Position{Era: p.Era, Revision: p.Revision}
+}
+
+// removedPeer is a daemon whose entry was absent from the store at a position.
 type removedPeer struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
 	Addr     ident.Addr
 	Revision int64
+	Era      store.Era
+}
+
+func newRemovedPeer(a ident.Addr, at store.Position) removedPeer {
+	return removedPeer{Addr: a, Revision: at.Revision, Era: at.Era}
+}
+
+func (p *removedPeer) position() store.Position {
+	return store.Position{Era: p.Era, Revision: p.Revision}
 }
 
 // minPackedPeers is the number of peers from which a notice has them compressed. The links of small VMs carry some
@@ -112,7 +131,7 @@
 	Self      *Peer            // the sender
 	Peers     []storedPeer     // daemons known to the sender
 	Gone      []removedPeer    // daemons whose entries were removed from the store
-	Full      bool             // Peers has all entries that the store had at the revision AsOf
+	Full      bool             // Peers has all entries that the store had at AsOf
 	Version   ident.Version    // configuration version of the sender
 	Config    []byte           // that version in the operators' encoding, compressed
 	WantState bool             // the sender requests the configuration and peers
@@ -122,10 +141,18 @@
 	// Base is the version against which Config is compressed; zero: none, Config is complete.
 	Base        ident.Version
 	Age         time.Duration
-	AsOf        int64 // revision of the store up to which the sender has all entries
+	AsOf        int64 // revision of the store up to which the sender has all entries, in Era
 	Unsubscribe bool  // the sender needs no further changes
 	// Brief, with Subscribe, requests only confirmations: UpToDate, Age, AsOf and Version.
 	Brief bool
 	// PackedPeers holds Peers, encoded and compressed, if there are many.
 	PackedPeers []byte
+	Era         store.Era // of AsOf
 }
+
+// position returns the position of the store up to which the sender has all entries.
+func (m *notice) position() store.Position {
+	return store.Position{Era: m.Era, Revision: m.AsOf}
+}
+
+func (m *notice) setPosition(at store.Position) { m.AsOf, m.Era = at.Revision, at.Era }
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -66,7 +66,8 @@
 
 	configMu sync.Mutex // held while a configuration is adopted and passed on
 	stateMu  sync.Mutex // held while store entries are applied and passed on
-	asOf     int64      // revision of the store up to which all entries are known; zero: not yet. Guarded by stateMu
+	// asOf is the position of the store up to which all entries are known; revision zero: not yet. Guarded by stateMu.
+	asOf store.Position
 
 	stopping             atomic.Bool
 	storeReachable       atomic.Bool   // the last call to the store succeeded
@@ -87,6 +88,7 @@
 	doc      *document                 // the configuration in force; nil: none
 	conns    map[*link.Conn]ident.Addr // the daemon at the other end; empty until it has sent its state
 	entry    ownEntry
+	era      store.Era // highest era of the store so far; zero: not known
 	// storeLatency is the shortest call to the store so far; zero: none has succeeded.
 	storeLatency time.Duration
 }
--- a/mesh/peer.go
+++ b/mesh/peer.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/marjoramcroft/marjoramcroft/ident"
+	"github.com/marjoramcroft/marjoramcroft/store"
 )
 
 // State is the state that a backend server reports.
@@ -37,6 +38,9 @@
 	Server   *Server // nil: none is known
 	// StoreLatency is the shortest call to the store that the daemon saw before it wrote its entry; zero: none.
 	StoreLatency time.Duration
+	// Era is the highest era of the store that the daemon knew. An entry that the store has in a later era is from the
+	// copy from which the store was restored, until the daemon writes it again.
+	Era store.Era
 }
 
 // newer reports whether p is a later state than q of the daemon at the same address.
--- a/mesh/peerlist.go
+++ b/mesh/peerlist.go
@@ -7,14 +7,15 @@
 
 	"github.com/marjoramcroft/marjoramcroft/ident"
 	"github.com/marjoramcroft/marjoramcroft/route"
+	"github.com/marjoramcroft/marjoramcroft/store"
 )
 
 // peerList holds all known daemons, including this one.
 type peerList struct {
 	mu       sync.RWMutex
 	peers    map[ident.Addr]*peerEntry
-	removed  map[ident.Addr]int64 // revisions of the store at which entries were absent
-	maxKnown int                  // highest number of daemons known at one time
+	removed  map[ident.Addr]store.Position // where in the history of the store entries were absent
+	maxKnown int                           // highest number of daemons known at one time
 	// generation changes whenever a peer is added, removed or changed.
 	generation atomic.Uint64
 }
@@ -22,14 +23,14 @@
 // peerEntry is a peer and where it is known from. It is removed missingTime after neither the store nor a link has it.
 type peerEntry struct {
 	Peer
-	revision int64 // of its key in the store; zero: not in the store
-	linked   bool  // a link to it is open
+	stored store.Position // of its key in the store; revision zero: not in the store
+	linked bool           // a link to it is open
 	// missingSince is when it was last known to the store or a link; zero: it is.
 	missingSince time.Time
 }
 
 func newPeerList() *peerList {
-	return &peerList{peers: map[ident.Addr]*peerEntry{}, removed: map[ident.Addr]int64{}}
+	return &peerList{peers: map[ident.Addr]*peerEntry{}, removed: map[ident.Addr]store.Position{}}
 }
 
 // merge updates a peer if p is newer than the known state, and reports whether it did. direct means that the
@@ -47,7 +48,7 @@
 		return true
 	}
 	l.linked = l.linked || direct
-	l.updateMissing(time.Now())
+	defer func() { l.updateMissing(time.Now()) }()
 	if !p.newer(&l.Peer) && (!direct || p.Life == l.Life) {
 		return false
 	}
@@ -56,61 +57,63 @@
 	return true
 }
 
-// setStored records that the store holds the entry of the peer at addr at revision, and reports whether that is
+// setStored records that the store holds the entry of the peer at addr at a position, and reports whether that is
 // newer than what is known of the entry.
-func (r *peerList) setStored(addr ident.Addr, revision int64) bool {
+func (r *peerList) setStored(addr ident.Addr, at store.Position) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	l := r.peers[addr]
-	if l == nil || revision <= l.revision || revision <= r.removed[addr] {
+	if l == nil || at.Revision == 0 || !at.After(l.stored) || !at.After(r.removed[addr]) {
 		return false
 	}
-	l.revision = revision
+	l.stored = at
 	l.updateMissing(time.Now())
 	delete(r.removed, addr)
 	return true
 }
 
-// clearStored records that the store does not hold the peer at addr at revision, and reports whether that is newer
+// clearStored records that the store does not hold the peer at addr at a position, and reports whether that is newer
 // than what is known of the entry.
-func (r *peerList) clearStored(addr ident.Addr, revision int64) bool {
+func (r *peerList) clearStored(addr ident.Addr, at store.Position) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	l := r.peers[addr]
-	if l == nil || l.revision == 0 || revision < l.revision {
+	if l == nil || l.stored.Revision == 0 || l.stored.After(at) {
 		return false
 	}
-	l.revision = 0
+	l.stored = store.Position{}
 	l.updateMissing(time.Now())
-	r.setRemoved(addr, revision)
+	r.setRemoved(addr, at)
 	return true
 }
 
-// isRemoved reports whether the entry of addr was absent from the store at a later revision.
-func (r *peerList) isRemoved(addr ident.Addr, revision int64) bool {
+// isRemoved reports whether the entry of p, which the store had at a position, has been removed since. A restore brings
+// entries back that had been removed; they count again when their daemons write them in the new era.
+func (r *peerList) isRemoved(p *Peer, at store.Position) bool {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	return revision <= r.removed[addr]
+	last, ok := r.removed[p.Addr]
+	return ok && (!at.After(last) || (last.Era < at.Era && p.Era < at.Era))
 }
 
 // maxRemoved limits the removed entries that are remembered. When it is exceeded, all are discarded; a notice that
 // was overtaken could then restore one of them until the next full state.
 const maxRemoved = 16384
 
-// setRemoved remembers the revision at which an entry was absent. The caller holds r.mu.
-func (r *peerList) setRemoved(addr ident.Addr, revision int64) {
+// setRemoved remembers where an entry was absent. The caller holds r.mu.
+func (r *peerList) setRemoved(addr ident.Addr, at store.Position) {
 	if len(r.removed) >= maxRemoved {
 		clear(r.removed)
 	}
-	r.removed[addr] = revision
+	r.removed[addr] = at
 }
 
-// removeAbsent clears the entries that the store does not hold at revision, and returns them.
-func (r *peerList) removeAbsent(self ident.Addr, present map[ident.Addr]bool, revision int64) []removedPeer {
+// removeAbsent clears the entries that the store does not hold at a position, and returns them.
+func (r *peerList) removeAbsent(self ident.Addr, present map[ident.Addr]bool, at store.Position) []removedPeer {
 	var gone []removedPeer
 	for _, p := range r.all(self) {
-		if a := p.Peer.Addr; !present[a] && r.clearStored(a, revision) {
-			gone = append(gone, removedPeer{Addr: a, Revision: revision})
+		if a := p.Peer.Addr; !present[a] && r.clearStored(a, at) {
+			gone = append(gone, newRemovedPeer(a, at))
 		}
 	}
 	return gone
@@ -120,9 +123,11 @@
 // an outage; they are back within two seconds after it.
 const missingTime = 3 * time.Second
 
-// updateMissing records whether the peer is missing at now.
+// updateMissing records whether the peer is missing at now. An entry from the copy of a restored store does not show
+// that its daemon still runs.
 func (l *peerEntry) updateMissing(now time.Time) {
-	switch missing := l.revision == 0 && !l.linked; {
+	stored := l.stored.Revision > 0 && l.Era >= l.stored.Era
+	switch missing := !stored && !l.linked; {
 	case !missing:
 		l.missingSince = time.Time{}
 	case l.missingSince.IsZero():
@@ -169,7 +174,7 @@
 	out := make([]storedPeer, 0, len(r.peers))
 	for a, l := range r.peers {
 		if a != self {
-			out = append(out, storedPeer{Peer: l.Peer, Revision: l.revision})
+			out = append(out, newStoredPeer(l.Peer, l.stored))
 		}
 	}
 	return out
--- a/mesh/register.go
+++ b/mesh/register.go
@@ -13,19 +13,19 @@
 // ownEntry is the state of the daemon's own entry in the store. It is guarded by Node.mu.
 type ownEntry struct {
 	lease      store.LeaseID
-	revision   int64 // revision of the key; zero: absent
-	writtenSeq int64 // Seq of the stored entry; -1: absent or from another incarnation
+	stored     store.Position // of the key; revision zero: absent
+	writtenSeq int64          // Seq of the stored entry; -1: absent or from another incarnation
 }
 
-// updateOwnEntry records the revision at which the store holds the daemon's own entry.
-func (n *Node) updateOwnEntry(p Peer, revision int64) {
+// updateOwnEntry records the position at which the store holds the daemon's own entry.
+func (n *Node) updateOwnEntry(p Peer, at store.Position) {
 	n.rememberDeparture(p)
 	n.mu.Lock()
-	if revision <= n.entry.revision {
+	if !at.After(n.entry.stored) {
 		n.mu.Unlock()
 		return
 	}
-	n.entry.revision = revision
+	n.entry.stored = at
 	superseded := n.supersede(p)
 	n.mu.Unlock()
 	if superseded {
@@ -45,22 +45,19 @@
 	return true
 }
 
-// markEntryMissing records that the store did not hold the daemon's own entry at revision.
-func (n *Node) markEntryMissing(revision int64) {
+// markEntryMissing records that the store did not hold the daemon's own entry at a position.
+func (n *Node) markEntryMissing(at store.Position) {
 	if n.stopping.Load() {
 		return
 	}
 	n.mu.Lock()
-	if n.entry.revision > revision {
+	if n.entry.stored.After(at) {
 		n.mu.Unlock()
 		return // written since
 	}
-	n.entry.revision, n.entry.writtenSeq = 0, -1
+	n.entry.stored, n.entry.writtenSeq = store.Position{}, -1
 	n.mu.Unlock()
-	select {
-	case n.entryOutdated <- struct{}{}:
-	default:
-	}
+	n.requestEntryWrite()
 }
 
 // maintainEntry keeps the daemon's own entry in the store up to date and its lease renewed.
@@ -111,7 +108,9 @@
 	n.mu.Lock()
 	id := n.entry.lease
 	n.mu.Unlock()
-	if err := n.d.Store.Renew(n.ctx, id); errors.Is(err, store.ErrLeaseLost) {
+	err := n.d.Store.Renew(n.ctx, id)
+	n.observeEra(n.d.Store.Era())
+	if errors.Is(err, store.ErrLeaseLost) {
 		n.d.Log.Emit(event.LeaseEnded, "Lease", id)
 		n.mu.Lock()
 		n.entry = ownEntry{writtenSeq: -1}
@@ -123,6 +122,7 @@
 // write updates the daemon's own entry until it matches the current state.
 func (n *Node) write(ctx context.Context) error {
 	for {
+		n.observeEra(n.d.Store.Era())
 		self := n.self()
 		n.mu.Lock()
 		e := n.entry
@@ -131,29 +131,42 @@
 			return nil
 		}
 		if e.lease == 0 {
-			began := time.Now()
-			id, err := n.d.Store.Grant(ctx, n.d.Config.Lease)
-			if err != nil {
+			if err := n.grantLease(ctx); err != nil {
 				return err
 			}
-			n.observeStoreLatency(time.Since(began))
-			self = n.self()
-			n.mu.Lock()
-			n.entry.lease = id
-			n.mu.Unlock()
-			e.lease = id
+			continue
 		}
 		data, err := wire.Encode(self)
 		if err != nil {
 			return err
 		}
-		v, err := n.d.Store.Swap(ctx, n.d.Keys.Peers+string(self.Addr), e.revision, data, e.lease)
+		v, err := n.d.Store.Swap(ctx, n.d.Keys.Peers+string(self.Addr), e.stored.Revision, data, e.lease)
 		if err := n.handleWriteResult(self, v, err); err != nil {
 			return err
 		}
 	}
 }
 
+// grantLease creates a lease for the daemon's own entry.
+func (n *Node) grantLease(ctx context.Context) error {
+	n.mu.Lock()
+	era := n.era
+	n.mu.Unlock()
+	began := time.Now()
+	id, err := n.d.Store.Grant(ctx, n.d.Config.Lease)
+	if err != nil {
+		return err
+	}
+	n.observeStoreLatency(time.Since(began))
+	n.observeEra(n.d.Store.Era())
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if era == 0 || era == n.era { // else the lease may be from before a restore
+		n.entry.lease = id
+	}
+	return nil
+}
+
 // handleWriteResult records the result of writing the daemon's own entry. If the outcome is unknown, the next
 // write resolves it: it fails if the key has another revision and returns that revision.
 func (n *Node) handleWriteResult(self Peer, v store.Value, err error) error {
@@ -165,10 +178,10 @@
 	defer n.mu.Unlock()
 	switch {
 	case err == nil:
-		n.entry.revision, n.entry.writtenSeq = v.Revision, self.Seq
+		n.entry.stored, n.entry.writtenSeq = v.Position(), self.Seq
 		return nil
 	case errors.Is(err, store.ErrConflict):
-		n.entry.revision, n.entry.writtenSeq = v.Revision, -1
+		n.entry.stored, n.entry.writtenSeq = v.Position(), -1
 		if found.Life != 0 {
 			n.supersede(found)
 		}
--- a/mesh/storeloop.go
+++ b/mesh/storeloop.go
@@ -33,21 +33,23 @@
 // other daemons while they confirm that they are up to date.
 func (n *Node) followStore() {
 	n.bootstrap()
-	failures, after := 0, int64(0)
+	failures, after := 0, store.Position{}
 	for n.ctx.Err() == nil {
 		if n.waitWhileConfirmed() {
-			after = 0 // changes may have been missed, so read the whole state
+			after = store.Position{} // changes may have been missed, so read the whole state
 			continue
 		}
 		var err error
-		if after == 0 && failures > 0 {
-			after = n.resumeRevision()
+		if after.Revision == 0 && failures > 0 {
+			after = n.resumePosition()
 		}
-		if after == 0 {
+		if after.Revision == 0 {
 			after, err = n.readAll()
 		} else if after, err = n.watch(after); errors.Is(err, store.ErrCompacted) {
 			n.d.Log.Emit(event.HistoryLost, "After", after)
-			after, failures = 0, 0 // the store is available, and the whole state has to be read
+			n.observeEra(n.d.Store.Era())
+			after, failures = store.Position{}, 0 // the store is available, and the whole state has to be read
+			n.awaitConfirmation(time.Now().Add(historyLostWait))
 			continue
 		}
 		if err == nil {
@@ -68,13 +70,13 @@
 // the whole state. It is below the time for which stores usually keep their history.
 const resumeAge = 15 * time.Second
 
-// resumeRevision returns the revision from which to watch after the store was unavailable; zero if the whole state
+// resumePosition returns the position from which to watch after the store was unavailable; zero if the whole state
 // has to be read. It spares the links when the store is back and all daemons that lost their parents read it.
-func (n *Node) resumeRevision() int64 {
+func (n *Node) resumePosition() store.Position {
 	n.stateMu.Lock()
 	defer n.stateMu.Unlock()
 	if n.subs.age() > resumeAge {
-		return 0
+		return store.Position{}
 	}
 	return n.asOf
 }
@@ -91,6 +93,9 @@
 		}
 		n.observeStoreLatency(time.Since(began))
 		for _, v := range values {
+			if v.Key != n.d.Keys.Peers+string(n.d.Self) {
+				v.Revision = 0 // may be from before a restore, so it does not order entries
+			}
 			n.applyValue(v)
 		}
 		if n.peers.daemons() > 1 || time.Until(end) < staleRetryInterval {
@@ -101,7 +106,12 @@
 			return
 		}
 	}
-	check := time.NewTicker(bootstrapCheckInterval)
+	n.awaitConfirmation(end)
+}
+
+// awaitConfirmation waits until a parent confirms that it is up to date, or until end. A root has no parents.
+func (n *Node) awaitConfirmation(end time.Time) {
+	check := time.NewTicker(confirmationCheckInterval)
 	defer check.Stop()
 	for n.syncPlan().tier != root && n.confirmationLeft() <= 0 && time.Now().Before(end) {
 		select {
@@ -112,12 +122,16 @@
 	}
 }
 
+// historyLostWait is how long a daemon that has to read the whole state waits for its parents to read it first. When
+// all daemons of a region read it at once, they saturate the link to the store for seconds.
+const historyLostWait = maxBackoff + confirmInterval
+
 const (
 	// staleRetryInterval is the time between two reads of a daemon that finds no other at its start. Such a read
 	// may be outdated by seconds, and costs a tenth of a usual one.
 	staleRetryInterval = 400 * time.Millisecond
-	// bootstrapCheckInterval is how often a starting daemon checks whether it has received the state.
-	bootstrapCheckInterval = 20 * time.Millisecond
+	// confirmationCheckInterval is how often a daemon that waits for the state checks whether it has received it.
+	confirmationCheckInterval = 20 * time.Millisecond
 )
 
 // observeStoreLatency records how long a call to the store took, which tells how near the store is.
@@ -181,12 +195,13 @@
 	n.d.Log.Emit(event.StoreLost, "Error", err, "Version", n.Version())
 }
 
-// readAll reads the whole state and returns the revision from which to watch.
-func (n *Node) readAll() (int64, error) {
+// readAll reads the whole state and returns the position from which to watch.
+func (n *Node) readAll() (store.Position, error) {
 	values, after, err := n.d.Store.Snapshot(n.ctx, n.d.Keys.WatchPrefix)
 	if err != nil {
-		return 0, err
+		return store.Position{}, err
 	}
+	n.observeEra(after.Era)
 	n.stateMu.Lock()
 	defer n.stateMu.Unlock()
 	present := map[ident.Addr]bool{}
@@ -199,27 +214,30 @@
 	if !present[n.d.Self] {
 		n.markEntryMissing(after)
 	}
-	n.asOf = max(n.asOf, after)
-	n.notifyFollowers(&notice{Peers: n.peers.all(""), Gone: gone, Full: true, UpToDate: true, Version: n.Version(), AsOf: after})
-	return max(1, after), nil
+	n.asOf = n.asOf.Later(after)
+	m := &notice{Peers: n.peers.all(""), Gone: gone, Full: true, UpToDate: true, Version: n.Version()}
+	m.setPosition(after)
+	n.notifyFollowers(m)
+	after.Revision = max(1, after.Revision)
+	return after, nil
 }
 
-// watch applies the next changes and returns the revision from which to continue.
-func (n *Node) watch(after int64) (int64, error) {
+// watch applies the next changes and returns the position from which to continue.
+func (n *Node) watch(after store.Position) (store.Position, error) {
 	changes, next, err := n.d.Store.Follow(n.ctx, n.d.Keys.WatchPrefix, after, n.d.Config.WatchWait())
 	if err != nil {
 		return after, err
 	}
 	if len(changes) == 0 {
-		return max(after, next), nil
+		return after.Later(next), nil
 	}
 	n.applyChanges(changes, next)
 	n.waitForBatch()
-	return max(after, next), nil
+	return after.Later(next), nil
 }
 
 // applyChanges applies changes of the store and passes them on. Of several configurations only the last is used.
-func (n *Node) applyChanges(changes []store.Change, asOf int64) {
+func (n *Node) applyChanges(changes []store.Change, asOf store.Position) {
 	n.stateMu.Lock()
 	defer n.stateMu.Unlock()
 	m := &notice{UpToDate: true}
@@ -227,8 +245,8 @@
 	for i, c := range changes {
 		if c.Deleted {
 			if a, ok := n.peerAddr(c.Key); ok {
-				n.handleRemoval(a, c.Revision)
-				m.Gone = append(m.Gone, removedPeer{Addr: a, Revision: c.Revision})
+				n.handleRemoval(a, c.Position())
+				m.Gone = append(m.Gone, newRemovedPeer(a, c.Position()))
 			}
 			continue
 		}
@@ -238,15 +256,16 @@
 		}
 		if a, ok := n.applyValue(c.Value); ok {
 			if p, ok := n.peers.get(a); ok {
-				m.Peers = append(m.Peers, storedPeer{Peer: p, Revision: c.Revision})
+				m.Peers = append(m.Peers, newStoredPeer(p, c.Position()))
 			}
 		}
 	}
 	if config != nil {
 		n.applyValue(*config)
 	}
-	n.asOf = max(n.asOf, asOf)
-	m.Version, m.AsOf = n.Version(), n.asOf
+	n.asOf = n.asOf.Later(asOf)
+	m.Version = n.Version()
+	m.setPosition(n.asOf)
 	n.notifyFollowers(m)
 }
 
@@ -287,9 +306,9 @@
 		return "", false
 	}
 	if addr == n.d.Self {
-		n.updateOwnEntry(p, v.Revision)
+		n.updateOwnEntry(p, v.Position())
 		return addr, true
 	}
-	n.applyEntry(p, v.Revision)
+	n.applyEntry(p, v.Position())
 	return addr, true
 }
--- a/mesh/syncfleet_test.go
+++ b/mesh/syncfleet_test.go
@@ -162,7 +162,7 @@
 		}
 		return v, err
 	}
-	out.Snapshot = func(ctx context.Context, prefix string) ([]store.Value, int64, error) {
+	out.Snapshot = func(ctx context.Context, prefix string) ([]store.Value, store.Position, error) {
 		f.calls.Add(10)
 		v, rev, err := d.Snapshot(ctx, prefix)
 		if err == nil {
@@ -170,7 +170,7 @@
 		}
 		return v, rev, err
 	}
-	out.Follow = func(ctx context.Context, prefix string, after int64, wait time.Duration) ([]store.Change, int64, error) {
+	out.Follow = func(ctx context.Context, prefix string, after store.Position, wait time.Duration) ([]store.Change, store.Position, error) {
 		f.calls.Add(10)
 		c, rev, err := d.Follow(ctx, prefix, after, wait)
 		if err == nil {
--- a/store/driver.go
+++ b/store/driver.go
@@ -29,13 +29,15 @@
 	// Watch blocks until key is at a revision above after, or, if after is above 0, until key
 	// is deleted; it returns the current state in both cases. Intermediate states may be skipped.
 	Watch func(ctx context.Context, key string, after int64) (Value, error)
-	// Snapshot returns the values whose keys have the prefix, and the revision after which
+	// Snapshot returns the values whose keys have the prefix, and the position after which
 	// Follow returns all changes. Nil if not supported.
-	Snapshot func(ctx context.Context, prefix string) ([]Value, int64, error)
+	Snapshot func(ctx context.Context, prefix string) ([]Value, Position, error)
 	// StaleList is List, but the result may be seconds old and costs the store less. Nil: List is used.
 	StaleList func(ctx context.Context, prefix string) ([]Value, error)
-	// Follow waits up to wait for a change of a key with the prefix after a revision. It returns the
-	// changes, or none, and the revision to pass to the next Follow. ErrCompacted means that the
-	// store no longer has these changes. Nil if not supported.
-	Follow func(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Change, int64, error)
+	// Follow waits up to wait for a change of a key with the prefix after a position. It returns the
+	// changes, or none, and the position to pass to the next Follow. ErrCompacted means that the
+	// store no longer has these changes, or was restored from a copy since. Nil if not supported.
+	Follow func(ctx context.Context, prefix string, after Position, wait time.Duration) ([]Change, Position, error)
+	// Era returns the highest era of an answer so far. Nil if not supported.
+	Era func() Era
 }
--- a/store/follow.go
+++ b/store/follow.go
@@ -7,11 +7,11 @@
 	"time"
 )
 
-// Snapshot returns the values whose keys have the prefix, and the revision to pass to Follow.
-func (c *Client) Snapshot(ctx context.Context, prefix string) ([]Value, int64, error) {
+// Snapshot returns the values whose keys have the prefix, and the position to pass to Follow.
+func (c *Client) Snapshot(ctx context.Context, prefix string) ([]Value, Position, error) {
 	type result struct {
 		values []Value
-		after  int64
+		after  Position
 	}
 	r, err := call(ctx, c, opSnapshot, prefix, func(ctx context.Context) (r result, err error) {
 		r.values, r.after, err = c.Driver.Snapshot(ctx, prefix)
@@ -20,13 +20,13 @@
 	return r.values, r.after, err
 }
 
-// Follow returns the changes of keys with the prefix after a revision, or none if there is no change
-// within wait. It returns ErrUnavailable if the store does not answer within Config.WatchPeriod,
+// Follow returns the changes of keys with the prefix after a position, or none if there is no change
+// within wait. ErrCompacted means that the whole state has to be read. It returns ErrUnavailable if the store does not answer within Config.WatchPeriod,
 // which must be longer than wait.
-func (c *Client) Follow(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Change, int64, error) {
+func (c *Client) Follow(ctx context.Context, prefix string, after Position, wait time.Duration) ([]Change, Position, error) {
 	type result struct {
 		changes []Change
-		after   int64
+		after   Position
 	}
 	r, err := call(ctx, c, opWatch, prefix, func(ctx context.Context) (r result, err error) {
 		r.changes, r.after, err = c.Driver.Follow(ctx, prefix, after, wait)
@@ -37,3 +37,11 @@
 	}
 	return r.changes, r.after, err
 }
+
+// Era returns the highest era of the store in an answer so far; zero if the store does not state it.
+func (c *Client) Era() Era {
+	if c.Driver.Era == nil {
+		return 0
+	}
+	return c.Driver.Era()
+}
--- a/store/value.go
+++ b/store/value.go
@@ -5,8 +5,12 @@
 	Key      string
 	Data     []byte
 	Revision int64
+	Era      Era // of the answer that holds the value
 }
 
+// Position returns the point in the history of the store at which the key was written last.
+func (v Value) Position() Position { return Position{Era: v.Era, Revision: v.Revision} }
+
 // MaxValue is the store's limit on the size of a value, in bytes.
 const MaxValue = 1 << 20
 
