mesh: Catch up on changes instead of reading the whole state

After an outage of the store of 1.5 to 2.5 s the far region was sent 2.35 MB, eleven times the configuration of 214 KB, over a link of 10 Mbit/s: leases were granted and entries written a second too late, and a configuration of that time would have been late as well.

Cause: a daemon whose parents did not confirm their state in time read the whole state. Only one that had itself called the store in vain asked for the changes since its own state. In an outage all followers of a region reach that limit at the same time, just when the store is back.

A daemon now asks for the changes since its own state first, without waiting for one, as long as that state is younger than 15 s; this also confirms the state at once, where a waiting watch kept roots unconfirmed for up to 1.8 s. It reads the whole state only if the store no longer has the changes. The position of the own state moves only together with the configuration, so that none is passed over.

--- a/mesh/gossip.go
+++ b/mesh/gossip.go
@@ -114,7 +114,7 @@
 	if m.Full && n.asOf.Revision == 0 {
 		out.Full, out.Peers = true, n.peers.all("")
 	}
-	if n.subs.recordState(c, m.Full) {
+	if n.subs.recordState(c, m.Full) && m.Version <= n.Version() {
 		n.asOf = n.asOf.Later(m.position())
 	}
 	behind := m.position().After(n.asOf) || m.Version > n.Version()
--- a/mesh/storeloop.go
+++ b/mesh/storeloop.go
@@ -33,35 +33,39 @@
 // other daemons while they confirm that they are up to date.
 func (n *Node) followStore() {
 	n.bootstrap()
-	failures, after := 0, store.Position{}
+	failures := 0
+	var after store.Position // from which to watch; revision zero: the state may lack changes
+	historyLost := false
 	for n.ctx.Err() == nil {
 		if n.waitWhileConfirmed() {
-			after = store.Position{} // changes may have been missed, so read the whole state
+			after, historyLost = store.Position{}, false
 			continue
 		}
 		var err error
-		if after.Revision == 0 && failures > 0 {
-			after = n.resumePosition()
-		}
-		if after.Revision == 0 {
+		known := n.resumePosition()
+		switch {
+		case after.Revision > 0:
+			after, err = n.watch(after)
+		case known.Revision > 0 && !historyLost:
+			after, err = n.catchUp(known)
+		default:
 			after, err = n.readAll()
-		} else if after, err = n.watch(after); errors.Is(err, store.ErrCompacted) {
-			n.d.Log.Emit(event.HistoryLost, "After", after)
-			n.observeEra(n.d.Store.Era())
-			after, failures = store.Position{}, 0 // the store is available, and the whole state has to be read
-			n.awaitConfirmation(time.Now().Add(historyLostWait))
-			continue
 		}
-		if err == nil {
-			failures = 0
+		switch {
+		case err == nil:
+			failures, historyLost = 0, false
 			n.recordStoreResult(nil)
-			continue
-		}
-		// Changes may have been compacted away, and a lease may have expired.
-		failures++
-		n.recordStoreResult(err)
-		if !n.backOff(failures) {
-			return
+		case errors.Is(err, store.ErrCompacted):
+			n.d.Log.Emit(event.HistoryLost, "After", known)
+			n.observeEra(n.d.Store.Era())
+			failures, historyLost = 0, true // the store is available
+			n.awaitConfirmation(time.Now().Add(historyLostWait))
+		default:
+			failures++
+			n.recordStoreResult(err)
+			if !n.backOff(failures) {
+				return
+			}
 		}
 	}
 }
@@ -70,12 +74,12 @@
 // the whole state. It is below the time for which stores usually keep their history.
 const resumeAge = 15 * time.Second
 
-// resumePosition returns the position from which to watch after the store was unavailable; zero if the whole state
-// has to be read. It spares the links when the store is back and all daemons that lost their parents read it.
+// resumePosition returns the position from which the daemon's state lacks changes; zero if the whole state has to be
+// read. It spares the links when many daemons lose their parents at once, or all of them the store.
 func (n *Node) resumePosition() store.Position {
 	n.stateMu.Lock()
 	defer n.stateMu.Unlock()
-	if n.subs.age() > resumeAge {
+	if min(n.subs.age(), time.Since(time.Unix(0, n.lastStoreReply.Load()))) > resumeAge {
 		return store.Position{}
 	}
 	return n.asOf
@@ -222,21 +226,30 @@
 	return after, nil
 }
 
-// watch applies the next changes and returns the position from which to continue.
+// catchUp applies the changes since a position without waiting for one, and returns the position from which to watch.
+func (n *Node) catchUp(after store.Position) (store.Position, error) {
+	changes, next, err := n.d.Store.Follow(n.ctx, n.d.Keys.WatchPrefix, after, 0)
+	if err != nil {
+		return store.Position{}, err
+	}
+	n.applyChanges(changes, next)
+	return after.Later(next), nil
+}
+
+// watch waits for the next changes, applies them and returns the position from which to continue; zero after an error.
 func (n *Node) watch(after store.Position) (store.Position, error) {
 	changes, next, err := n.d.Store.Follow(n.ctx, n.d.Keys.WatchPrefix, after, n.d.Config.WatchWait())
 	if err != nil {
-		return after, err
+		return store.Position{}, err
 	}
-	if len(changes) == 0 {
-		return after.Later(next), nil
+	if len(changes) > 0 {
+		n.applyChanges(changes, next)
+		n.waitForBatch()
 	}
-	n.applyChanges(changes, next)
-	n.waitForBatch()
 	return after.Later(next), nil
 }
 
-// applyChanges applies changes of the store and passes them on. Of several configurations only the last is used.
+// applyChanges applies changes of the store, if any, and tells the followers. Of several configurations only the last is used.
 func (n *Node) applyChanges(changes []store.Change, asOf store.Position) {
 	n.stateMu.Lock()
 	defer n.stateMu.Unlock()
--- a/mesh/sync_test.go
+++ b/mesh/sync_test.go
@@ -219,3 +219,25 @@
 		f.stopAll()
 	})
 }
+
+// TestShortOutage guards against daemons that all read the whole state when the store is back, because their parents
+// confirm their own state too late. Over a narrow link this takes longer than the bound of a configuration.
+func TestShortOutage(t *testing.T) {
+	for _, outage := range []time.Duration{1500 * time.Millisecond, 2 * time.Second, 2500 * time.Millisecond, 4 * time.Second} {
+		t.Run(outage.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newSyncFleet(t, 4, 6)
+				f.startAll()
+				defer f.stopAll()
+				before := f.farBytes.Load()
+				f.store.SetOutage(emul.Rejecting)
+				time.Sleep(outage)
+				f.store.SetOutage(emul.NoOutage)
+				time.Sleep(4 * time.Second)
+				if sent, document := f.farBytes.Load()-before, int64(len(testDocument(1))); sent > document/4 {
+					t.Errorf("the store sent %d bytes to the other region, a document has %d", sent, document)
+				}
+			})
+		})
+	}
+}
