mesh: State the position of the own entry in full states

A daemon that was alive and had its entry in the store was forgotten for good by daemons without a link to it, so they sent it no calls.

Cause: nothing recorded the position of a daemon's own entry in its list of peers, so its full state listed itself as one without an entry. Receivers took that for a removal, and relays passed it on. An entry that was older than the position of the full state did not come again.

The daemon now records where its own entry is whenever it learns of it.

--- a/mesh/peerlist.go
+++ b/mesh/peerlist.go
@@ -72,6 +72,15 @@
 	return true
 }
 
+// setOwnStored records the position of the daemon's own entry; revision zero: the store does not hold it.
+func (r *peerList) setOwnStored(self ident.Addr, at store.Position) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if l := r.peers[self]; l != nil {
+		l.stored = at
+	}
+}
+
 // clearStored records that the store does not hold the peer at addr at a position, and reports whether that is newer
 // than what is known of the entry.
 func (r *peerList) clearStored(addr ident.Addr, at store.Position) bool {
--- a/mesh/register.go
+++ b/mesh/register.go
@@ -25,7 +25,7 @@
 		n.mu.Unlock()
 		return
 	}
-	n.entry.stored = at
+	n.setEntryPosition(at)
 	superseded := n.supersede(p)
 	n.mu.Unlock()
 	if superseded {
@@ -33,6 +33,12 @@
 	}
 }
 
+// setEntryPosition records the position of the daemon's own entry, which its full states state. The caller holds n.mu.
+func (n *Node) setEntryPosition(at store.Position) {
+	n.entry.stored = at
+	n.peers.setOwnStored(n.d.Self, at)
+}
+
 // supersede reports whether p, the stored own entry, is from an earlier incarnation. If so, it raises the
 // daemon's incarnation above that of p, so that the entry is replaced even if the clock was set back. The
 // caller holds n.mu.
@@ -55,7 +61,8 @@
 		n.mu.Unlock()
 		return // written since
 	}
-	n.entry.stored, n.entry.writtenSeq = store.Position{}, -1
+	n.setEntryPosition(store.Position{})
+	n.entry.writtenSeq = -1
 	n.mu.Unlock()
 	n.requestEntryWrite()
 }
@@ -114,6 +121,7 @@
 		n.d.Log.Emit(event.LeaseEnded, "Lease", id)
 		n.mu.Lock()
 		n.entry = ownEntry{writtenSeq: -1}
+		n.setEntryPosition(store.Position{})
 		n.mu.Unlock()
 	}
 	// Other errors come from the store; the next renewal is due before the lease expires.
@@ -178,10 +186,12 @@
 	defer n.mu.Unlock()
 	switch {
 	case err == nil:
-		n.entry.stored, n.entry.writtenSeq = v.Position(), self.Seq
+		n.setEntryPosition(v.Position())
+		n.entry.writtenSeq = self.Seq
 		return nil
 	case errors.Is(err, store.ErrConflict):
-		n.entry.stored, n.entry.writtenSeq = v.Position(), -1
+		n.setEntryPosition(v.Position())
+		n.entry.writtenSeq = -1
 		if found.Life != 0 {
 			n.supersede(found)
 		}
