mesh: Know the own position after quiet times and without parents

After a short outage the roots read the whole state although nothing of theirs had changed, and the followers waited 1.3 s for them; when both relays of a data centre were lost, its daemons read the whole state ten times, 3.0 MB over 10 Mbit/s.

Cause: a watch that found no change did not move the position from which a daemon resumes, so that the store had discarded the history since it once other keys had changed for 20 s. The age of the state was taken for unknown when the last link to a parent ended.

The position of an empty watch is kept beside that of the state, and the time of the last confirmation outlives the parent.

--- a/mesh/node.go
+++ b/mesh/node.go
@@ -68,6 +68,9 @@
 	stateMu  sync.Mutex // held while store entries are applied and passed on
 	// asOf is the position of the store up to which all entries are known; revision zero: not yet. Guarded by stateMu.
 	asOf store.Position
+	// watched is the position up to which the daemon's last watch found no change. It is after asOf if other keys have
+	// changed. Guarded by stateMu.
+	watched store.Position
 
 	stopping             atomic.Bool
 	storeReachable       atomic.Bool   // the last call to the store succeeded
--- a/mesh/storeloop.go
+++ b/mesh/storeloop.go
@@ -56,7 +56,7 @@
 			failures, historyLost = 0, false
 			n.recordStoreResult(nil)
 		case errors.Is(err, store.ErrCompacted):
-			n.d.Log.Emit(event.HistoryLost, "After", known)
+			n.d.Log.Emit(event.HistoryLost, "Error", err)
 			n.observeEra(n.d.Store.Era())
 			failures, historyLost = 0, true // the store is available
 			n.awaitConfirmation(time.Now().Add(historyLostWait))
@@ -79,10 +79,11 @@
 func (n *Node) resumePosition() store.Position {
 	n.stateMu.Lock()
 	defer n.stateMu.Unlock()
-	if min(n.subs.age(), time.Since(time.Unix(0, n.lastStoreReply.Load()))) > resumeAge {
+	read := time.Unix(0, n.lastStoreReply.Load())
+	if min(time.Since(n.subs.lastCurrent()), time.Since(read)) > resumeAge {
 		return store.Position{}
 	}
-	return n.asOf
+	return n.asOf.Later(n.watched)
 }
 
 // bootstrap finds the daemons to follow, and waits for the state of one. If all daemons started at once and each
@@ -245,8 +246,12 @@
 	if len(changes) > 0 {
 		n.applyChanges(changes, next)
 		n.waitForBatch()
+		return after.Later(next), nil
 	}
-	return after.Later(next), nil
+	n.stateMu.Lock()
+	defer n.stateMu.Unlock()
+	n.watched = after.Later(next)
+	return n.watched, nil
 }
 
 // applyChanges applies changes of the store, if any, and tells the followers. Of several configurations only the last is used.
--- a/mesh/subscriptions.go
+++ b/mesh/subscriptions.go
@@ -47,7 +47,8 @@
 	opening   map[ident.Addr]bool
 	followers map[*link.Conn]bool      // the value tells whether it gets only confirmations
 	avoid     map[ident.Addr]time.Time // parents that could not be reached, and until when they are passed over
-	confirmed time.Time                // the state is that of the store at this time
+	confirmed time.Time                // the state is that of the store at this time; zero: no parent is left
+	current   time.Time                // the latest value of confirmed
 	lost      chan struct{}            // signals that the last link to a parent is gone
 
 	plan       syncPlan
@@ -111,7 +112,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if at := time.Now().Add(-age); at.After(s.confirmed) {
-		s.confirmed = at
+		s.confirmed, s.current = at, at
 	}
 }
 
@@ -122,6 +123,13 @@
 	return time.Since(s.confirmed)
 }
 
+// lastCurrent returns when the state was that of the store by the last confirmation, of a parent that may be gone.
+func (s *subscriptions) lastCurrent() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.current
+}
+
 // removeLink forgets a closed link.
 func (s *subscriptions) removeLink(c *link.Conn) {
 	s.mu.Lock()
--- a/mesh/sync_test.go
+++ b/mesh/sync_test.go
@@ -241,3 +241,58 @@
 		})
 	}
 }
+
+// TestShortOutageAfterOtherChanges guards against daemons that read the whole state after a short outage, because
+// their own position does not move with changes of other keys and the store has discarded the history since it.
+func TestShortOutageAfterOtherChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newSyncFleet(t, 4, 6)
+		f.startAll()
+		defer f.stopAll()
+		for range 40 { // no change of the daemons' keys for two minutes
+			f.passRevision(f.store.Revision() + 10)
+			time.Sleep(3 * time.Second)
+		}
+		for _, n := range f.roots() {
+			n.stateMu.Lock()
+			t.Logf("root %s: position %s, store at %d", n.addr, n.asOf, f.store.Revision())
+			n.stateMu.Unlock()
+		}
+		before := f.farBytes.Load()
+		snapshots := f.store.Counts()["List"]
+		f.store.SetOutage(emul.Rejecting)
+		time.Sleep(2 * time.Second)
+		f.store.SetOutage(emul.NoOutage)
+		time.Sleep(4 * time.Second)
+		t.Logf("%d reads of the whole state", f.store.Counts()["List"]-snapshots)
+		if sent, document := f.farBytes.Load()-before, int64(len(testDocument(1))); sent > document/4 || f.store.Counts()["List"] > snapshots {
+			t.Errorf("the store sent %d bytes to the other region, a document has %d", sent, document)
+		}
+	})
+}
+
+// TestRelaysLost guards against daemons that all read the whole state from the store when the daemons that they
+// follow are lost at once.
+func TestRelaysLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newSyncFleet(t, 4, 12)
+		f.startAll()
+		defer f.stopAll()
+		var relays []*syncNode
+		for _, n := range f.nodes {
+			if n.place.DataCentre == "dc3" && n.syncPlan().tier == relay {
+				relays = append(relays, n)
+			}
+		}
+		before := f.farBytes.Load()
+		snapshots := f.store.Counts()["List"]
+		for _, n := range relays {
+			f.kill(n)
+		}
+		time.Sleep(4 * time.Second)
+		t.Logf("%d relays killed, %d reads of the whole state", len(relays), f.store.Counts()["List"]-snapshots)
+		if sent, document := f.farBytes.Load()-before, int64(len(testDocument(1))); sent > 3*document {
+			t.Errorf("the store sent %d bytes to the other region, a document has %d", sent, document)
+		}
+	})
+}
