mesh: Watch briefly after the delay between two watches

A configuration that was accepted just after a short outage with a restore was in force after 2.04 s of 2.5 s, and the daemons' entries were back later than two seconds after the store.

Cause: the roots wait half a second after a change. If the store was restored in that time and has passed the old revision again, it takes the next watch, and only the answer shows the era, 1.8 s later.

The first watch after the delay waits 0.2 s.

--- a/mesh/restore_test.go
+++ b/mesh/restore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -234,3 +235,39 @@
 		}
 	}
 }
+
+// TestRestoreDuringBatchDelay guards against a configuration that is late because the roots were waiting for further
+// changes while the store was restored: their next watch waits in the new era, from a revision of the last one.
+func TestRestoreDuringBatchDelay(t *testing.T) {
+	for i := range 10 {
+		t.Run(fmt.Sprint(i), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newSyncFleet(t, 4, 3)
+				f.startAllWith(func(_ *syncNode, d store.Driver) store.Driver { return f.asOverHTTP(d) })
+				defer f.stopAll()
+				time.Sleep(time.Duration(i) * 400 * time.Millisecond)
+				c := f.store.Copy()
+				f.passRevision(60)
+				f.accept(2)
+				time.Sleep(100 * time.Millisecond)
+				f.store.SetOutage(emul.Rejecting)
+				time.Sleep(200 * time.Millisecond)
+				f.store.Restore(c)
+				f.store.SetOutage(emul.NoOutage)
+				f.accept(3)
+				f.passRevision(100)
+				began := time.Now()
+				for len(f.behind(3)) > 0 && time.Since(began) < 20*time.Second {
+					time.Sleep(20 * time.Millisecond)
+				}
+				if took := time.Since(began); took > inForceBound {
+					t.Errorf("in force after %s", took)
+				} else {
+					t.Logf("in force after %s", took)
+				}
+				time.Sleep(max(0, entriesBackBound-time.Since(began)))
+				f.requireEntries()
+			})
+		})
+	}
+}
--- a/mesh/storeloop.go
+++ b/mesh/storeloop.go
@@ -20,6 +20,9 @@
 	// batchDelay lets changes in quick succession arrive in one watch, because each watch is a call to the
 	// store. It is a fifth of the time in which a configuration must be in force.
 	batchDelay = 500 * time.Millisecond
+	// shortWatchWait limits the first watch after batchDelay. If the store was restored meanwhile and has passed the
+	// position again, only the answer shows it.
+	shortWatchWait = 200 * time.Millisecond
 )
 
 // backOff waits after a failure, with exponential back-off and jitter. It reports false if the node was
@@ -35,6 +38,7 @@
 	n.bootstrap()
 	failures := 0
 	var after store.Position // from which to watch; revision zero: the state may lack changes
+	wait := n.d.Config.WatchWait()
 	historyLost := false
 	for n.ctx.Err() == nil {
 		if n.waitWhileConfirmed() {
@@ -45,7 +49,7 @@
 		known := n.resumePosition()
 		switch {
 		case after.Revision > 0:
-			after, err = n.watch(after)
+			after, wait, err = n.watch(after, wait)
 		case known.Revision > 0 && !historyLost:
 			after, err = n.catchUp(known)
 		default:
@@ -237,21 +241,23 @@
 	return after.Later(next), nil
 }
 
-// watch waits for the next changes, applies them and returns the position from which to continue; zero after an error.
-func (n *Node) watch(after store.Position) (store.Position, error) {
-	changes, next, err := n.d.Store.Follow(n.ctx, n.d.Keys.WatchPrefix, after, n.d.Config.WatchWait())
+// watch waits for the next changes and applies them. It returns the position from which to continue, zero after an
+// error, and how long the next watch waits.
+func (n *Node) watch(after store.Position, wait time.Duration) (store.Position, time.Duration, error) {
+	longWait := n.d.Config.WatchWait()
+	changes, next, err := n.d.Store.Follow(n.ctx, n.d.Keys.WatchPrefix, after, wait)
 	if err != nil {
-		return store.Position{}, err
+		return store.Position{}, longWait, err
 	}
 	if len(changes) > 0 {
 		n.applyChanges(changes, next)
 		n.waitForBatch()
-		return after.Later(next), nil
+		return after.Later(next), shortWatchWait, nil
 	}
 	n.stateMu.Lock()
 	defer n.stateMu.Unlock()
 	n.watched = after.Later(next)
-	return n.watched, nil
+	return n.watched, longWait, nil
 }
 
 // applyChanges applies changes of the store, if any, and tells the followers. Of several configurations only the last is used.
--- a/mesh/syncfleet_test.go
+++ b/mesh/syncfleet_test.go
@@ -65,7 +65,10 @@
 }
 
 // start starts the process of n.
-func (f *syncFleet) start(n *syncNode) {
+func (f *syncFleet) start(n *syncNode) { f.startWith(n, f.driver(n)) }
+
+// startWith starts the process of n with another driver of the store.
+func (f *syncFleet) startWith(n *syncNode, d store.Driver) {
 	set := stats.New()
 	cfg := DefaultConfig()
 	sc := store.DefaultConfig()
@@ -78,7 +81,7 @@
 		Dial: func(ctx context.Context, _, addr string) (net.Conn, error) {
 			return f.net.Dial(ctx, n.addr, ident.Addr(addr))
 		},
-		Store: store.New(store.Deps{Driver: f.driver(n), Config: sc, Stats: set, Log: event.Discard(), Rand: rand.Float64}),
+		Store: store.New(store.Deps{Driver: d, Config: sc, Stats: set, Log: event.Discard(), Rand: rand.Float64}),
 	})
 	node := n.Node
 	f.net.Listen(n.addr, n.place, func(c net.Conn) { go node.serveLink(link.New(c, node.handlers())) })
@@ -261,10 +264,15 @@
 
 // startAll starts all daemons within 0.3 s and waits until they have version 1.
 func (f *syncFleet) startAll() {
+	f.startAllWith(func(_ *syncNode, d store.Driver) store.Driver { return d })
+}
+
+// startAllWith is startAll with the drivers that wrap returns.
+func (f *syncFleet) startAllWith(wrap func(n *syncNode, d store.Driver) store.Driver) {
 	f.accept(1)
 	for _, n := range f.nodes {
 		time.Sleep(300 * time.Millisecond / time.Duration(len(f.nodes)))
-		f.start(n)
+		f.startWith(n, wrap(n, f.driver(n)))
 	}
 	time.Sleep(8 * time.Second)
 	f.requireInForce(1)
