store, mesh: Accept an era of zero

With a store that counts its eras from zero, 19 of 24 entries were not written again two seconds after a restore.

Cause: zero stood for an era that is not known yet, so the step to one was taken for the first sight of the era. A lease that was granted before the first answer with a new era was kept for the same reason.

Each rise of the era now counts as a restore, unless the daemon holds nothing from the store yet.

TestFirstEraZero failed before and passes. The stores that we know start at one.

--- a/mesh/era.go
+++ b/mesh/era.go
@@ -21,16 +21,14 @@
 		n.mu.Unlock()
 		return
 	}
+	restored := before != 0 || n.entry.lease != 0 // else the daemon learns of the era for the first time
 	n.era = e
 	n.seq++
-	n.entry.writtenSeq = -1
-	if before != 0 {
-		n.entry.lease, n.entry.stored.Era = 0, e
-	}
+	n.entry.lease, n.entry.stored.Era, n.entry.writtenSeq = 0, e, -1
 	n.mu.Unlock()
 	n.updateSelf(n.self())
 	n.d.Stats.Gauge("Store.Era", int64(e))
-	if before == 0 {
+	if !restored {
 		return
 	}
 	n.d.Log.Emit(event.StoreRestored, "Era", e, "Before", before)
--- a/mesh/register.go
+++ b/mesh/register.go
@@ -33,6 +33,19 @@
 	}
 }
 
+// observeOwnPosition records that the store holds the daemon's own entry at a position, as another daemon states. If it
+// was written after the daemon's own last write, by one whose answer was lost, it is written again.
+func (n *Node) observeOwnPosition(at store.Position) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if at.Revision == 0 || !at.After(n.entry.stored) {
+		return
+	}
+	n.setEntryPosition(at)
+	n.entry.writtenSeq = -1
+	n.requestEntryWrite()
+}
+
 // setEntryPosition records the position of the daemon's own entry, which its full states state. The caller holds n.mu.
 func (n *Node) setEntryPosition(at store.Position) {
 	n.entry.stored = at
--- a/mesh/restore_test.go
+++ b/mesh/restore_test.go
@@ -236,6 +236,25 @@
 	}
 }
 
+// TestFirstEraZero guards against a restore that is taken for the first sight of the store's era, because the store
+// counts from 0: entries then come back only with the next renewal, under a lease of the time before.
+func TestFirstEraZero(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newSyncFleet(t, 4, 6)
+		f.startAllWith(func(_ *syncNode, d store.Driver) store.Driver { return countingFromZero(d) })
+		defer f.stopAll()
+		n := f.quiet()
+		f.kill(n)
+		time.Sleep(15 * time.Second)
+		c := f.store.Copy()
+		f.startWith(n, countingFromZero(f.driver(n)))
+		time.Sleep(3 * time.Second)
+		f.restore(c, nil)
+		time.Sleep(entriesBackBound)
+		f.requireEntries()
+	})
+}
+
 // TestRestoreDuringBatchDelay guards against a configuration that is late because the roots were waiting for further
 // changes while the store was restored: their next watch waits in the new era, from a revision of the last one.
 func TestRestoreDuringBatchDelay(t *testing.T) {
--- a/store/era.go
+++ b/store/era.go
@@ -6,7 +6,7 @@
 	"sync/atomic"
 )
 
-// Era counts how often the store came back from a copy of its state. What was written since the copy is lost, and
+// Era rises by one each time the store comes back from a copy of its state. What was written since the copy is lost, and
 // its revisions and lease ids are given out again, so neither can be compared across eras. It is zero for a store
 // that does not state it.
 type Era int64
