mesh: Write the own entry again after a late write

An entry stayed in an older state, under the lease of another daemon, for all of the 36 s that the test watched.

Cause: a write whose answer is lost may run seconds later if its condition holds. After a restore the entry can have the expected revision again, so that it replaces a newer entry. A daemon ignored an entry of its own with a lower sequence number, and followers did not look at their own at all.

A daemon now takes over the position of its own entry from its parents too, and writes it again if it is later than its own last write.

Found by the review of the restored store.

--- a/mesh/gossip.go
+++ b/mesh/gossip.go
@@ -74,6 +74,7 @@
 		present[p.Peer.Addr] = p.Revision > 0
 		if p.Peer.Addr == n.d.Self {
 			n.rememberDeparture(p.Peer)
+			n.observeOwnPosition(p.position())
 			continue
 		}
 		if n.applyEntry(p.Peer, p.position()) {
--- a/mesh/register.go
+++ b/mesh/register.go
@@ -17,7 +17,8 @@
 	writtenSeq int64          // Seq of the stored entry; -1: absent or from another incarnation
 }
 
-// updateOwnEntry records the position at which the store holds the daemon's own entry.
+// updateOwnEntry records the position at which the store holds the daemon's own entry. A write whose answer was lost may
+// run late and replace a newer entry, which is then written again.
 func (n *Node) updateOwnEntry(p Peer, at store.Position) {
 	n.rememberDeparture(p)
 	n.mu.Lock()
@@ -27,9 +28,16 @@
 	}
 	n.setEntryPosition(at)
 	superseded := n.supersede(p)
+	outdated := p.Life == n.incarnation && p.Seq < n.entry.writtenSeq
+	if outdated {
+		n.entry.writtenSeq = -1
+	}
 	n.mu.Unlock()
-	if superseded {
+	switch {
+	case superseded:
 		n.publish()
+	case outdated:
+		n.requestEntryWrite()
 	}
 }
 
