mesh: Remove the own entry by its revision at a stop

A daemon that stopped just after a restore removed the entry of another one, which was then missing until that one noticed.

Cause: it removed its own entry by revoking its lease, whose id the store may have given out again.

It now deletes its key if that still has the revision of its last write, and leaves the lease to end.

TestLeaseIDGivenOutAgainAtStop failed before and passes.

--- a/mesh/node.go
+++ b/mesh/node.go
@@ -160,7 +160,7 @@
 
 // Close removes the daemon's entry from the store, closes all links and waits for its goroutines.
 func (n *Node) Close() {
-	n.revokeLease()
+	n.removeEntry()
 	n.stop()
 	n.closeLinks()
 	n.wg.Wait()
--- a/mesh/register.go
+++ b/mesh/register.go
@@ -190,7 +190,7 @@
 	n.observeEra(n.d.Store.Era())
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if era == 0 || era == n.era { // else the lease may be from before a restore
+	if era == n.era { // else the lease may be from before a restore
 		n.entry.lease = id
 	}
 	return nil
@@ -224,20 +224,21 @@
 	return err
 }
 
-// revokeTimeout limits removing the own entry at a stop. If that fails, the entry expires with its lease.
-const revokeTimeout = 150 * time.Millisecond
+// removeTimeout limits removing the own entry at a stop. If that fails, the entry expires with its lease.
+const removeTimeout = 150 * time.Millisecond
 
-// revokeLease revokes the lease, which removes the daemon's own entry.
-func (n *Node) revokeLease() {
+// removeEntry removes the daemon's own entry. The lease is left to end: after a restore of the store that the daemon has
+// not noticed, its id may be that of another daemon's lease.
+func (n *Node) removeEntry() {
 	n.mu.Lock()
-	id := n.entry.lease
+	at := n.entry.stored
 	n.mu.Unlock()
-	if id == 0 {
+	if at.Revision == 0 {
 		return
 	}
-	ctx, cancel := context.WithTimeout(n.ctx, revokeTimeout)
+	ctx, cancel := context.WithTimeout(n.ctx, removeTimeout)
 	defer cancel()
-	if err := n.d.Store.Revoke(ctx, id); err != nil {
-		n.d.Log.Emit(event.LeaveIncomplete, "Lease", id, "Error", err)
+	if err := n.d.Store.Delete(ctx, n.d.Keys.Peers+string(n.d.Self), at.Revision); err != nil {
+		n.d.Log.Emit(event.LeaveIncomplete, "Entry", at, "Error", err)
 	}
 }
--- a/mesh/restore_test.go
+++ b/mesh/restore_test.go
@@ -301,6 +301,30 @@
 	})
 }
 
+// TestLeaseIDGivenOutAgainAtStop guards against a daemon that stops soon after a restore and revokes the lease of
+// another one, which removes that one's entry.
+func TestLeaseIDGivenOutAgainAtStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newSyncFleet(t, 4, 6)
+		f.startAll()
+		defer f.stopAll()
+		c := f.store.Copy()
+		n := f.quiet()
+		f.kill(n)
+		f.start(n) // its lease is granted after the copy
+		time.Sleep(3 * time.Second)
+		f.restore(c, func() {
+			id, err := f.store.Driver().Grant(t.Context(), DefaultConfig().Lease)
+			is.NoErr(err)
+			_, err = f.store.Driver().Swap(t.Context(), testKeys.Peers+"other", 0, []byte("x"), id)
+			is.NoErr(err)
+			f.stop(n)
+		})
+		is.True(f.store.Peek(testKeys.Peers+"other").Revision != 0) // the entry of another daemon was removed
+	})
+}
+
 // TestRestoreDuringBatchDelay guards against a configuration that is late because the roots were waiting for further
 // changes while the store was restored: their next watch waits in the new era, from a revision of the last one.
 func TestRestoreDuringBatchDelay(t *testing.T) {
