mesh: Go on after a link could not be accepted

Callers would see all calls of a daemon cut: a process that ends closes their connections without an answer. A refused accept, such as at the limit of descriptors, ended the daemon with event 837.

Cause: ServeLinks returned any error of Accept but that of a closed listener, and the daemon ends when one of its servers does. net/http goes on after such errors, the link listener did not.

ServeLinks now pauses for 5 ms to 1 s and accepts again, and logs event 816. Calls go on over the links that are open, and over those that the daemon opens itself.

--- a/event/mesh.go
+++ b/event/mesh.go
@@ -16,6 +16,7 @@
 	BackendReachable     ID = 813
 	PeerChanged          ID = 814
 	NoticeUnreadable     ID = 815
+	LinkNotAccepted      ID = 816
 	ConfigInForce        ID = 820
 	ConfigInvalid        ID = 821
 	StoreLost            ID = 822
@@ -47,6 +48,7 @@
 	BackendReachable:     {log.InfoLevel, "backend server accepts connections again"},
 	PeerChanged:          {log.InfoLevel, "another daemon changed its state"},
 	NoticeUnreadable:     {log.WarnLevel, "notice of another daemon cannot be read"},
+	LinkNotAccepted:      {log.WarnLevel, "link cannot be accepted"},
 	ConfigInForce:        {log.InfoLevel, "configuration in force"},
 	ConfigInvalid:        {log.ErrorLevel, "configuration refused, the present one stays in force"},
 	StoreLost:            {log.WarnLevel, "store lost, the present state stays in use"},
--- a/mesh/cluster_test.go
+++ b/mesh/cluster_test.go
@@ -92,7 +92,7 @@
 		Store: store.New(store.Deps{Driver: r.store.Driver(), Config: sc, Stats: set, Log: event.Discard(), Rand: rand.Float64}),
 	})
 	node, ln := n.Node, n.ln
-	go func() { _ = node.ServeLinks(ln) }()
+	go node.ServeLinks(ln)
 	node.Start()
 	r.t.Cleanup(n.kill)
 }
--- a/mesh/links.go
+++ b/mesh/links.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/marjoramcroft/marjoramcroft/delay"
+	"github.com/marjoramcroft/marjoramcroft/event"
 	"github.com/marjoramcroft/marjoramcroft/ident"
 	"github.com/marjoramcroft/marjoramcroft/link"
 	"github.com/marjoramcroft/marjoramcroft/refuse"
@@ -188,16 +190,31 @@
 	n.subs.removeLink(c)
 }
 
-// ServeLinks accepts links from other daemons until the listener is closed.
-func (n *Node) ServeLinks(ln net.Listener) error {
+// acceptPause and maxAcceptPause bound the pause after a link could not be accepted, such as at the limit of
+// descriptors.
+const (
+	acceptPause    = 5 * time.Millisecond
+	maxAcceptPause = time.Second
+)
+
+// ServeLinks accepts links from other daemons until the listener is closed. It continues after any other error: if the
+// daemon ended, its calls would be cut, and it can serve them over the links that it has.
+func (n *Node) ServeLinks(ln net.Listener) {
+	pause := acceptPause
 	for {
 		nc, err := ln.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return nil
-		}
-		if err != nil {
-			return fmt.Errorf("accept links: %w", err)
+		switch {
+		case errors.Is(err, net.ErrClosed):
+			return
+		case err != nil:
+			n.d.Log.Emit(event.LinkNotAccepted, "Error", err, "Pause", pause)
+			if !delay.Sleep(n.ctx, pause) {
+				return
+			}
+			pause = min(maxAcceptPause, 2*pause)
+			continue
 		}
+		pause = acceptPause
 		go n.serveLink(link.New(nc, n.handlers()))
 	}
 }
