platform, event: Tell requests without an answer apart

Timeout and Other are the daemon's own doing and are logged as event 807 with the request's id. The end of a process with calls in flight was and is event 832, 837 or a stack trace.

--- a/event/mesh.go
+++ b/event/mesh.go
@@ -10,6 +10,7 @@
 	TargetRefused        ID = 804
 	TargetExchangeFailed ID = 805
 	CallUnencodable      ID = 806
+	CallerCut            ID = 807
 	BackendChanged       ID = 810
 	BackendReplaced      ID = 811
 	BackendUnreachable   ID = 812
@@ -42,6 +43,7 @@
 	TargetRefused:        {log.InfoLevel, "request not answered at the target"},
 	TargetExchangeFailed: {log.WarnLevel, "exchange with the backend server failed"},
 	CallUnencodable:      {log.ErrorLevel, "message cannot be encoded"},
+	CallerCut:            {log.WarnLevel, "caller's connection ended by the daemon during a request"},
 	BackendChanged:       {log.InfoLevel, "backend server changed its state"},
 	BackendReplaced:      {log.WarnLevel, "another backend server has the address"},
 	BackendUnreachable:   {log.WarnLevel, "backend server accepts no connection"},
