mesh: Keep the leave of a backend server that is not known yet

Cause: a daemon that was restarted acknowledged the leave request of its backend server before it had a heartbeat of it. ServerLeft had no effect then, also for a later process of a known id, and the handler answered success. A heartbeat that was sent before the leave and arrived after it put the server in use.

Change: departures keeps processes, as id and start, that left while they were not the known server; a heartbeat of one of them counts as draining. The leave of an earlier process than the known one has no effect, as its heartbeats are not taken either; it is counted as Server.LeaveLate.

The tests of ServerLeft now check its error.

--- a/mesh/cluster_test.go
+++ b/mesh/cluster_test.go
@@ -133,11 +133,13 @@
 	is.NoErr(err)
 }
 
-// heartbeat sends a heartbeat of the backend server beside n.
-func (n *testNode) heartbeat(s State) {
+// heartbeat sends a heartbeat of the backend server beside n. Only incomplete heartbeats fail.
+func (n *testNode) heartbeat(s State) { _ = n.report(s) }
+
+// report is heartbeat with its error.
+func (n *testNode) report(s State) error {
 	n.seq++
-	// HandleHeartbeat fails only for incomplete heartbeats.
-	_ = n.HandleHeartbeat(Heartbeat{
+	return n.HandleHeartbeat(Heartbeat{
 		ID: n.backend.id, Service: n.service, Addr: n.backend.addr, Slots: 4, State: s, Seq: n.seq, Started: 1,
 	})
 }
--- a/mesh/departure_test.go
+++ b/mesh/departure_test.go
@@ -13,13 +13,13 @@
 // daemon beside it was restarted and then received a delayed heartbeat.
 func TestRestartRemembersDeparture(t *testing.T) {
 	tests := map[string]struct {
-		leave  func(n *testNode)
+		leave  func(n *testNode) error
 		outage emul.Outage // during the restart
 	}{
-		"left, from the store":          {func(n *testNode) { n.ServerLeft(n.backend.id, 1) }, emul.NoOutage},
-		"draining, from the store":      {func(n *testNode) { n.heartbeat(Draining) }, emul.NoOutage},
-		"left, from another daemon":     {func(n *testNode) { n.ServerLeft(n.backend.id, 1) }, emul.Rejecting},
-		"draining, from another daemon": {func(n *testNode) { n.heartbeat(Draining) }, emul.Rejecting},
+		"left, from the store":          {func(n *testNode) error { return n.ServerLeft(n.backend.id, 1) }, emul.NoOutage},
+		"draining, from the store":      {func(n *testNode) error { return n.report(Draining) }, emul.NoOutage},
+		"left, from another daemon":     {func(n *testNode) error { return n.ServerLeft(n.backend.id, 1) }, emul.Rejecting},
+		"draining, from another daemon": {func(n *testNode) error { return n.report(Draining) }, emul.Rejecting},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -29,7 +29,7 @@
 			is.Equal(b.call(t.Context(), "/s/get/").Refusal, nil)
 			_, err := b.linkTo(t.Context(), ident.Addr(a.addr))
 			is.NoErr(err)
-			tt.leave(a)
+			is.NoErr(tt.leave(a))
 			b.waitForServers(t, "s", 1)
 			eventually(t, "entry says that the server left", func() bool {
 				a.mu.Lock()
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -142,11 +142,11 @@
 	beat("i-1", 100, 9, Ready) // delayed by a partition
 	id, _ = state()
 	is.Equal(id, "i-2")
-	beat("i-2", 300, 1, Ready) // a new process with the same id
-	n.ServerLeft("i-2", 200)   // from the previous process
+	beat("i-2", 300, 1, Ready)         // a new process with the same id
+	is.NoErr(n.ServerLeft("i-2", 200)) // from the previous process
 	id, s = state()
 	is.Equal(id+string(s), "i-2Ready")
-	n.ServerLeft("i-2", 300)
+	is.NoErr(n.ServerLeft("i-2", 300))
 	_, s = state()
 	is.Equal(s, Gone)
 	beat("i-2", 300, 2, Ready)
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -80,13 +80,13 @@
 	stop                 context.CancelFunc
 	wg                   sync.WaitGroup
 
-	mu       sync.Mutex
-	server   *localServer // beside the daemon; nil: none is known. Replaced, never modified.
-	departed *Server      // process that had left before this daemon started; nil: none is known
-	seq      int64
-	doc      *document // the configuration in force; nil: none
-	conns    map[*link.Conn]struct{}
-	entry    ownEntry
+	mu         sync.Mutex
+	server     *localServer // beside the daemon; nil: none is known. Replaced, never modified.
+	departures departures   // of processes other than that of server
+	seq        int64
+	doc        *document // the configuration in force; nil: none
+	conns      map[*link.Conn]struct{}
+	entry      ownEntry
 	// storeLatency is the shortest call to the store so far; zero: none has succeeded.
 	storeLatency time.Duration
 }
--- a/mesh/server.go
+++ b/mesh/server.go
@@ -56,11 +56,15 @@
 		next.client = n.newClient(h.Addr)
 		if cur != nil {
 			cur.client.Close()
+			if cur.leaving {
+				_, _ = n.departures.add(cur.process()) // fails only if there are many of processes without a heartbeat
+			}
 		}
+		n.departures.removeBefore(h.Started)
 	} else {
 		next.client, next.leaving = cur.client, cur.leaving
 	}
-	next.leaving = next.leaving || h.State == Draining || n.hasDeparted(&next.Server)
+	next.leaving = next.leaving || h.State == Draining || n.departures.has(next.process())
 	if next.leaving {
 		next.State = Draining
 	}
@@ -71,26 +75,46 @@
 	return nil
 }
 
-// ServerLeft handles the report of the backend server id that it is leaving: it receives no further requests.
-// Reports from a process started before the current one are ignored; a zero born is not checked.
-func (n *Node) ServerLeft(id string, born int64) {
+// ServerLeft handles the report of the backend server id that its process started at born is leaving: the process
+// receives no further requests, even if its first heartbeat arrives later. A zero born means the process that is
+// known. The report is in force when ServerLeft returns; one that cannot be kept returns an error.
+func (n *Node) ServerLeft(id string, born int64) error {
 	n.mu.Lock()
 	cur := n.server
-	if cur == nil || cur.ID != id || (born != 0 && born < cur.Born) || cur.State == Gone {
+	known := cur != nil && cur.ID == id && (born == 0 || born == cur.Born)
+	switch {
+	case born == 0 && !known:
 		n.mu.Unlock()
-		return
+		return errUnknownServer
+	case born != 0 && cur != nil && born < cur.Born:
+		n.mu.Unlock()
+		n.d.Stats.Inc("Server.LeaveLate")
+		return nil // its heartbeats are ignored
+	case !known:
+		added, err := n.departures.add(departure{ID: id, Born: born})
+		if err != nil || cur == nil || cur.ID != id {
+			n.mu.Unlock()
+			if added {
+				n.d.Log.Emit(event.BackendChanged, "Server", id, "State", Gone, "Born", born)
+			}
+			return err
+		}
+		// The known process has ended, as a later one has its id.
+	}
+	if cur.State == Gone {
+		n.mu.Unlock()
+		return nil
 	}
 	next := *cur
 	next.leaving, next.State = true, Gone
 	n.server = &next
 	n.mu.Unlock()
 	n.applyServer(&next, false, true)
+	return nil
 }
 
-// hasDeparted reports whether s is the process that had left before this daemon started. The caller holds n.mu.
-func (n *Node) hasDeparted(s *Server) bool {
-	return n.departed != nil && n.departed.ID == s.ID && n.departed.Born == s.Born
-}
+// process identifies the process of the backend server.
+func (s *Server) process() departure { return departure{ID: s.ID, Born: s.Born} }
 
 // rememberDeparture applies the state that the store or another daemon has of this daemon's earlier process. A
 // backend server that had left may have sent a heartbeat before, which arrives only now.
@@ -100,16 +124,16 @@
 		n.mu.Unlock()
 		return
 	}
-	if n.departed == nil || n.departed.Born <= earlier.Server.Born {
-		n.departed = earlier.Server
+	gone, cur := earlier.Server.process(), n.server
+	if cur == nil || gone.Born >= cur.Born {
+		_, _ = n.departures.add(gone) // fails only if there are many of processes without a heartbeat
 	}
-	cur := n.server
-	if cur == nil || cur.leaving || !n.hasDeparted(&cur.Server) {
+	if cur == nil || cur.leaving || cur.process() != gone {
 		n.mu.Unlock()
 		return
 	}
 	next := *cur
-	next.leaving, next.State = true, n.departed.State
+	next.leaving, next.State = true, earlier.Server.State
 	n.server = &next
 	n.mu.Unlock()
 	n.applyServer(&next, false, true)
--- a/mesh/syncfleet_test.go
+++ b/mesh/syncfleet_test.go
@@ -64,8 +64,17 @@
 	return f
 }
 
-// start starts the process of n.
+// start starts the process of n, to which a new backend server reports soon after.
 func (f *syncFleet) start(n *syncNode) {
+	f.startAlone(n)
+	node := n.Node
+	time.AfterFunc(700*time.Millisecond, func() {
+		_ = node.HandleHeartbeat(Heartbeat{ID: string(n.addr), Service: "s", Addr: "x:1", Slots: 4, State: Ready, Seq: 1, Started: time.Now().UnixMilli()})
+	})
+}
+
+// startAlone starts the process of n, to which no backend server reports.
+func (f *syncFleet) startAlone(n *syncNode) {
 	set := stats.New()
 	cfg := DefaultConfig()
 	sc := store.DefaultConfig()
@@ -84,9 +93,6 @@
 	f.net.Listen(n.addr, n.place, func(c net.Conn) { go node.serveLink(link.New(c, node.handlers())) })
 	n.up.Store(true)
 	node.Start()
-	time.AfterFunc(700*time.Millisecond, func() {
-		_ = node.HandleHeartbeat(Heartbeat{ID: string(n.addr), Service: "s", Addr: "x:1", Slots: 4, State: Ready, Seq: 1, Started: time.Now().UnixMilli()})
-	})
 }
 
 // kill ends the process of n.
