mesh: Hand departures down over several restarts

A backend server was in use again after its leave was acknowledged.

Cause: a daemon took a departure from the entry of its earlier process, which was that of the known server only, and did not write it into its own entry. So a daemon that was restarted twice before a heartbeat had lost it, in the store and at the other daemons. A leave of a server of which it had no heartbeat was never in an entry, and the entry was not written before the first heartbeat or RegisterWait.

Change: the entry has a field Departed with these processes; the next process takes them into its own, from the store or from another daemon. The first leave ends the wait for a heartbeat. The field is left out if it is empty, and daemons of earlier releases ignore it.

Evidence: TestRestartsRememberDeparture, in virtual time; 7 of 9 cases failed before:

rejoin_test.go:75: false != true (7 times) --- FAIL: TestRestartsRememberDeparture/killed_before_a_heartbeat --- FAIL: TestRestartsRememberDeparture/killed_before_a_heartbeat,_store_unavailable --- FAIL: TestRestartsRememberDeparture/killed_twice --- FAIL: TestRestartsRememberDeparture/killed_twice,_store_unavailable --- FAIL: TestRestartsRememberDeparture/killed_three_times --- FAIL: TestRestartsRememberDeparture/earlier_server_known --- FAIL: TestRestartsRememberDeparture/earlier_server_in_use_meanwhile

All pass now; go test -race ./mesh passes.

--- a/mesh/departures.go
+++ b/mesh/departures.go
@@ -60,6 +60,17 @@
 	})
 }
 
+// processes returns the processes that left.
+func (d *departures) processes() []departure {
+	var out []departure
+	for _, k := range d.list {
+		if time.Since(k.since) <= departureTTL {
+			out = append(out, k.departure)
+		}
+	}
+	return out
+}
+
 // removeBefore removes the processes that started before born.
 func (d *departures) removeBefore(born int64) {
 	d.list = slices.DeleteFunc(d.list, func(k keptDeparture) bool { return k.Born < born })
--- a/mesh/departures_test.go
+++ b/mesh/departures_test.go
@@ -27,8 +27,10 @@
 		is.True(!added)
 		time.Sleep(departureTTL)
 		is.True(d.has(departure{"i-1", 100}))
+		is.Equal(d.processes(), []departure{{"i-1", 100}})
 		time.Sleep(time.Second)
 		is.True(!d.has(departure{"i-1", 100}))
+		is.Equal(len(d.processes()), 0)
 	})
 }
 
--- a/mesh/gossip.go
+++ b/mesh/gossip.go
@@ -53,7 +53,7 @@
 // has lost that, and the store may be unavailable.
 func (n *Node) returnDeparture(c *link.Conn, self *Peer) {
 	earlier, ok := n.peers.get(self.Addr)
-	if ok && earlier.Life < self.Life && earlier.Server != nil && earlier.Server.State != Ready {
+	if ok && earlier.Life < self.Life && len(earlier.departures()) > 0 {
 		n.notify(c, &notice{Peers: []storedPeer{{Peer: earlier}}, Version: n.Version()})
 	}
 }
@@ -232,6 +232,7 @@
 		s := n.server.Server
 		p.Server = &s
 	}
+	p.Departed = n.departures.processes()
 	return p
 }
 
--- a/mesh/peer.go
+++ b/mesh/peer.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"slices"
 	"time"
 
 	"github.com/marjoramcroft/marjoramcroft/ident"
@@ -35,6 +36,8 @@
 	Seq      int64
 	Stopping bool
 	Server   *Server // nil: none is known
+	// Departed holds processes of backend servers that left, other than Server, so that they outlive the daemon.
+	Departed []departure `msgpack:",omitempty"`
 	// StoreLatency is the shortest call to the store that the daemon saw before it wrote its entry; zero: none.
 	StoreLatency time.Duration
 }
@@ -47,6 +50,14 @@
 	return p.Seq > q.Seq
 }
 
+// departures returns the processes of backend servers beside the daemon that left.
+func (p *Peer) departures() []departure {
+	if p.Server == nil || p.Server.State == Ready {
+		return p.Departed
+	}
+	return append(slices.Clone(p.Departed), p.Server.process())
+}
+
 // serves reports whether the peer takes requests for service.
 func (p *Peer) serves(service ident.ServiceID) bool {
 	return !p.Stopping && p.Server != nil && p.Server.Service == service && p.Server.State == Ready
--- a/mesh/register.go
+++ b/mesh/register.go
@@ -91,11 +91,11 @@
 	}
 }
 
-// awaitBackend waits for the first heartbeat of the backend server.
+// awaitBackend waits for the first report of a backend server.
 func (n *Node) awaitBackend() {
 	t := time.NewTimer(n.d.Config.RegisterWait)
 	defer t.Stop()
-	for n.currentServer() == nil {
+	for !n.hasReports() {
 		select {
 		case <-n.ctx.Done():
 			return
--- /dev/null
+++ b/mesh/rejoin_test.go
@@ -0,0 +1,80 @@
+package mesh
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/marjoramcroft/marjoramcroft/emul"
+)
+
+// TestRestartsRememberDeparture guards against a backend server that is in use again after it left, because the
+// daemon beside it was killed before it had a heartbeat of it, or was restarted more than once.
+func TestRestartsRememberDeparture(t *testing.T) {
+	first, second := serverReport{"i-1", 100, 9, Ready}, serverReport{"i-2", 200, 1, Ready}
+	left := func(r serverReport) serverReport { r.state = Gone; return r }
+	tests := map[string]struct {
+		lives  [][]serverReport // each ends with a kill, but for the last one
+		outage emul.Outage      // during the last restart
+		want   string
+	}{
+		"killed before a heartbeat": {
+			[][]serverReport{{left(first)}, {first}}, emul.NoOutage, "",
+		},
+		"killed before a heartbeat, store unavailable": {
+			[][]serverReport{{left(first)}, {first}}, emul.Rejecting, "",
+		},
+		"killed twice": {
+			[][]serverReport{{first, left(first)}, {}, {first}}, emul.NoOutage, "",
+		},
+		"killed twice, store unavailable": {
+			[][]serverReport{{first, left(first)}, {}, {first}}, emul.Rejecting, "",
+		},
+		"killed three times": {
+			[][]serverReport{{left(first)}, {}, {}, {first}}, emul.NoOutage, "",
+		},
+		"earlier server known": {
+			[][]serverReport{{first, left(second)}, {second}}, emul.NoOutage, "",
+		},
+		"earlier server in use meanwhile": {
+			[][]serverReport{{first, left(second)}, {first}, {second}}, emul.NoOutage, "",
+		},
+		"later server": {
+			[][]serverReport{{first, left(first)}, {second}, {second}}, emul.NoOutage, "i-2/200",
+		},
+		"later server, first seen after the restart": {
+			[][]serverReport{{left(first)}, {}, {first, second}}, emul.NoOutage, "i-2/200",
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newSyncFleet(t, 2, 2)
+				defer f.stopAll()
+				f.startAll()
+				n, other := f.nodes[0], f.nodes[3]
+				for i, reports := range tt.lives {
+					if i == len(tt.lives)-1 {
+						f.store.SetOutage(tt.outage)
+					}
+					f.kill(n)
+					time.Sleep(500 * time.Millisecond)
+					f.startAlone(n)
+					_, err := other.linkTo(t.Context(), n.addr) // as for a call
+					is.NoErr(err)
+					time.Sleep(900 * time.Millisecond)
+					for _, r := range reports {
+						is.NoErr(r.send(n.Node))
+						time.Sleep(300 * time.Millisecond)
+					}
+					time.Sleep(2 * time.Second) // for the entry to reach the others
+				}
+				is.Equal(n.slots.Status().Closed, tt.want == "")
+				is.Equal(other.inUse(n.addr), tt.want)
+			})
+		})
+	}
+}
--- a/mesh/server.go
+++ b/mesh/server.go
@@ -96,6 +96,7 @@
 			n.mu.Unlock()
 			if added {
 				n.d.Log.Emit(event.BackendChanged, "Server", id, "State", Gone, "Born", born)
+				n.publish()
 			}
 			return err
 		}
@@ -116,24 +117,32 @@
 // process identifies the process of the backend server.
 func (s *Server) process() departure { return departure{ID: s.ID, Born: s.Born} }
 
-// rememberDeparture applies the state that the store or another daemon has of this daemon's earlier process. A
-// backend server that had left may have sent a heartbeat before, which arrives only now.
+// rememberDeparture applies the departures that the store or another daemon has from this daemon's earlier process.
+// A backend server that had left may have sent a heartbeat before, which arrives only now. The daemon's own entry
+// passes them on to its next process.
 func (n *Node) rememberDeparture(earlier Peer) {
 	n.mu.Lock()
-	if earlier.Life >= n.incarnation || earlier.Server == nil || earlier.Server.State == Ready {
+	if earlier.Life >= n.incarnation {
 		n.mu.Unlock()
 		return
 	}
-	gone, cur := earlier.Server.process(), n.server
-	if cur == nil || gone.Born >= cur.Born {
-		_, _ = n.departures.add(gone) // fails only if there are many of processes without a heartbeat
+	cur, changed := n.server, false
+	for _, gone := range earlier.departures() {
+		if cur != nil && (gone.Born < cur.Born || (cur.leaving && cur.process() == gone)) {
+			continue
+		}
+		added, _ := n.departures.add(gone) // fails only if there are many of processes without a heartbeat
+		changed = changed || added
 	}
-	if cur == nil || cur.leaving || cur.process() != gone {
+	if cur == nil || cur.leaving || !n.departures.has(cur.process()) {
 		n.mu.Unlock()
+		if changed {
+			n.publish()
+		}
 		return
 	}
 	next := *cur
-	next.leaving, next.State = true, earlier.Server.State
+	next.leaving, next.State = true, Draining
 	n.server = &next
 	n.mu.Unlock()
 	n.applyServer(&next, false, true)
@@ -158,6 +167,13 @@
 	return origin.New(origin.Deps{Addr: addr, Names: n.d.Names, Dial: n.d.Dial, Bodies: n.bodies})
 }
 
+// hasReports reports whether a backend server is known, or one that left.
+func (n *Node) hasReports() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.server != nil || len(n.departures.list) > 0
+}
+
 // currentServer returns the backend server beside the daemon; nil if none is known.
 func (n *Node) currentServer() *localServer {
 	n.mu.Lock()
