mesh: Return departures to a daemon whose clock was set back

A backend server that had left was in use again after its daemon was restarted with an earlier clock while the store was unavailable.

Cause: other daemons returned departures only to a later Life, and a daemon took them only from an earlier one. The Life comes from the clock until the store shows an earlier entry.

Change: another Life is enough on both sides. A departure names a process, so it is true whichever life of the daemon recorded it.

Evidence: TestRestartsRememberDeparture/clock_set_back,_store_unavailable failed before ("rejoin_test.go:83: false != true") and passes now; the case with the store passed before.

--- a/mesh/gossip.go
+++ b/mesh/gossip.go
@@ -50,10 +50,10 @@
 }
 
 // returnDeparture tells a daemon that was restarted that the backend server beside it had left before. The daemon
-// has lost that, and the store may be unavailable.
+// has lost that, and the store may be unavailable. Its Life is lower if its clock was set back.
 func (n *Node) returnDeparture(c *link.Conn, self *Peer) {
 	earlier, ok := n.peers.get(self.Addr)
-	if ok && earlier.Life < self.Life && len(earlier.departures()) > 0 {
+	if ok && earlier.Life != self.Life && len(earlier.departures()) > 0 {
 		n.notify(c, &notice{Peers: []storedPeer{{Peer: earlier}}, Version: n.Version()})
 	}
 }
--- a/mesh/rejoin_test.go
+++ b/mesh/rejoin_test.go
@@ -19,33 +19,40 @@
 		lives  [][]serverReport // each ends with a kill, but for the last one
 		outage emul.Outage      // during the last restart
 		want   string
+		lag    time.Duration // how far the clock was set back before the last restart
 	}{
 		"killed before a heartbeat": {
-			[][]serverReport{{left(first)}, {first}}, emul.NoOutage, "",
+			lives: [][]serverReport{{left(first)}, {first}},
 		},
 		"killed before a heartbeat, store unavailable": {
-			[][]serverReport{{left(first)}, {first}}, emul.Rejecting, "",
+			lives: [][]serverReport{{left(first)}, {first}}, outage: emul.Rejecting,
 		},
 		"killed twice": {
-			[][]serverReport{{first, left(first)}, {}, {first}}, emul.NoOutage, "",
+			lives: [][]serverReport{{first, left(first)}, {}, {first}},
 		},
 		"killed twice, store unavailable": {
-			[][]serverReport{{first, left(first)}, {}, {first}}, emul.Rejecting, "",
+			lives: [][]serverReport{{first, left(first)}, {}, {first}}, outage: emul.Rejecting,
 		},
 		"killed three times": {
-			[][]serverReport{{left(first)}, {}, {}, {first}}, emul.NoOutage, "",
+			lives: [][]serverReport{{left(first)}, {}, {}, {first}},
 		},
 		"earlier server known": {
-			[][]serverReport{{first, left(second)}, {second}}, emul.NoOutage, "",
+			lives: [][]serverReport{{first, left(second)}, {second}},
 		},
 		"earlier server in use meanwhile": {
-			[][]serverReport{{first, left(second)}, {first}, {second}}, emul.NoOutage, "",
+			lives: [][]serverReport{{first, left(second)}, {first}, {second}},
+		},
+		"clock set back": {
+			lives: [][]serverReport{{first, left(first)}, {first}}, lag: time.Hour,
+		},
+		"clock set back, store unavailable": {
+			lives: [][]serverReport{{first, left(first)}, {first}}, outage: emul.Rejecting, lag: time.Hour,
 		},
 		"later server": {
-			[][]serverReport{{first, left(first)}, {second}, {second}}, emul.NoOutage, "i-2/200",
+			lives: [][]serverReport{{first, left(first)}, {second}, {second}}, want: "i-2/200",
 		},
 		"later server, first seen after the restart": {
-			[][]serverReport{{left(first)}, {}, {first, second}}, emul.NoOutage, "i-2/200",
+			lives: [][]serverReport{{left(first)}, {}, {first, second}}, want: "i-2/200",
 		},
 	}
 	for name, tt := range tests {
@@ -59,6 +66,7 @@
 				for i, reports := range tt.lives {
 					if i == len(tt.lives)-1 {
 						f.store.SetOutage(tt.outage)
+						n.clockLag = tt.lag
 					}
 					f.kill(n)
 					time.Sleep(500 * time.Millisecond)
--- a/mesh/server.go
+++ b/mesh/server.go
@@ -122,7 +122,7 @@
 // passes them on to its next process.
 func (n *Node) rememberDeparture(earlier Peer) {
 	n.mu.Lock()
-	if earlier.Life >= n.incarnation {
+	if earlier.Life == n.incarnation {
 		n.mu.Unlock()
 		return
 	}
--- a/mesh/syncfleet_test.go
+++ b/mesh/syncfleet_test.go
@@ -41,6 +41,8 @@
 	addr  ident.Addr
 	place ident.Place
 	up    atomic.Bool // in touch with the others
+	// clockLag is how far the clock of the next process is behind.
+	clockLag time.Duration
 }
 
 const (
@@ -81,7 +83,9 @@
 	sc.Budget, sc.Budgets = store.Budget{Reads: 1000, ReadBurst: 1000, Writes: 1000, WriteBurst: 1000}, nil
 	sc.Attempts, sc.Timeout, sc.OpenFor = 1, time.Second, 300*time.Millisecond
 	sc.WatchPeriod = cfg.WatchWait() + 600*time.Millisecond
+	lag := n.clockLag
 	n.Node = New(Deps{
+		Now:  func() time.Time { return time.Now().Add(-lag) },
 		Self: n.addr, Place: n.place, Caller: func() ident.ServiceID { return "s" }, Config: cfg, Names: testNames, Keys: testKeys,
 		Decode: decodeTestDocument, Log: event.Discard(), Stats: set, Random: rand.Float64,
 		Dial: func(ctx context.Context, _, addr string) (net.Conn, error) {
