mesh: Keep departures when a new life of a daemon lacks them

A backend server that had left was in use again after its daemon was restarted, although other daemons had known of its leave.

Cause: the leave was acknowledged while the store was unavailable (or the store was restored to an older copy), so only linked daemons knew of it. If they got the entry of the daemon's next process from the store before they had a link to it, that entry replaced what they knew, and they had nothing to return.

Change: a daemon that learns of a new life of another one adds the departures that this life lacks, unless a later backend server is beside it, and returns on each notice from it what it lacks.

Evidence: TestEntryWithoutDeparture, in virtual time, both cases failed before in 3 of 3 runs:

rejoin_test.go:130: not true: n.slots.Status().Closed --- FAIL: TestEntryWithoutDeparture/no_heartbeat --- FAIL: TestEntryWithoutDeparture/late_heartbeat

Remains: a daemon that writes its new entry twice before any link is open.

--- a/mesh/gossip.go
+++ b/mesh/gossip.go
@@ -32,7 +32,7 @@
 		return
 	}
 	if m.Self != nil && m.Self.Addr != n.d.Self {
-		n.returnDeparture(c, m.Self)
+		n.returnDepartures(c, m.Self)
 		n.updatePeer(*m.Self, true)
 	}
 	n.applyState(c, m)
@@ -49,12 +49,15 @@
 	}
 }
 
-// returnDeparture tells a daemon that was restarted that the backend server beside it had left before. The daemon
-// has lost that, and the store may be unavailable. Its Life is lower if its clock was set back.
-func (n *Node) returnDeparture(c *link.Conn, self *Peer) {
-	earlier, ok := n.peers.get(self.Addr)
-	if ok && earlier.Life != self.Life && len(earlier.departures()) > 0 {
-		n.notify(c, &notice{Peers: []storedPeer{{Peer: earlier}}, Version: n.Version()})
+// returnDepartures tells a daemon that was restarted which backend servers beside it had left before. The daemon has
+// lost that, and the store may be unavailable or not hold it.
+func (n *Node) returnDepartures(c *link.Conn, self *Peer) {
+	known, ok := n.peers.get(self.Addr)
+	if !ok {
+		return
+	}
+	if left := self.lacking(&known); len(left) > 0 {
+		n.notify(c, &notice{Peers: []storedPeer{{Peer: Peer{Addr: self.Addr, Departed: left}}}, Version: n.Version()})
 	}
 }
 
--- a/mesh/peer.go
+++ b/mesh/peer.go
@@ -37,6 +37,7 @@
 	Stopping bool
 	Server   *Server // nil: none is known
 	// Departed holds processes of backend servers that left, other than Server, so that they outlive the daemon.
+	// Other daemons add those of its earlier lives.
 	Departed []departure `msgpack:",omitempty"`
 	// StoreLatency is the shortest call to the store that the daemon saw before it wrote its entry; zero: none.
 	StoreLatency time.Duration
@@ -52,10 +53,20 @@
 
 // departures returns the processes of backend servers beside the daemon that left.
 func (p *Peer) departures() []departure {
-	if p.Server == nil || p.Server.State == Ready {
-		return p.Departed
+	out := slices.Clone(p.Departed)
+	if p.Server != nil && p.Server.State != Ready {
+		out = append(out, p.Server.process())
 	}
-	return append(slices.Clone(p.Departed), p.Server.process())
+	return out
+}
+
+// lacking returns the departures in q that p does not have and that still matter to its backend server. q is
+// another state of the daemon at the same address.
+func (p *Peer) lacking(q *Peer) []departure {
+	known := p.departures()
+	return slices.DeleteFunc(q.departures(), func(d departure) bool {
+		return slices.Contains(known, d) || (p.Server != nil && d.Born < p.Server.Born)
+	})
 }
 
 // serves reports whether the peer takes requests for service.
--- a/mesh/peerlist.go
+++ b/mesh/peerlist.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -51,6 +52,10 @@
 	if !p.newer(&l.Peer) && (!direct || p.Life == l.Life) {
 		return false
 	}
+	if p.Life != l.Life {
+		p.Departed = append(slices.Clone(p.Departed), p.lacking(&l.Peer)...)
+		p.Departed = p.Departed[:min(len(p.Departed), maxDepartures)]
+	}
 	l.Peer = p
 	r.generation.Add(1)
 	return true
--- a/mesh/rejoin_test.go
+++ b/mesh/rejoin_test.go
@@ -86,3 +86,50 @@
 		})
 	}
 }
+
+// TestEntryWithoutDeparture guards against a backend server that is in use again after it left, because the store did
+// not hold that, as after an outage or a restore, and the others had the entry of the daemon's next process from the
+// store before they had a link to it.
+func TestEntryWithoutDeparture(t *testing.T) {
+	tests := map[string][]serverReport{ // of the next process, before the others link to it
+		"no heartbeat":   nil,
+		"late heartbeat": {{"i-1", 100, 19, Ready}},
+	}
+	for name, reports := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newSyncFleet(t, 2, 2)
+				defer f.stopAll()
+				f.startAll()
+				n, other := f.nodes[0], f.nodes[3]
+				beat := serverReport{"i-1", 100, 9, Ready}
+				beat.born += n.currentServer().Born // later than the server of the start
+				is.NoErr(beat.send(n.Node))
+				time.Sleep(2 * time.Second)
+				_, err := other.linkTo(t.Context(), n.addr) // as for a call
+				is.NoErr(err)
+				f.store.SetOutage(emul.Rejecting)
+				is.NoErr(n.ServerLeft(beat.id, beat.born))
+				time.Sleep(100 * time.Millisecond)
+				f.kill(n)
+				f.store.SetOutage(emul.NoOutage)
+				f.startAlone(n)
+				for _, r := range reports {
+					r.born = beat.born
+					is.NoErr(r.send(n.Node))
+				}
+				self := n.self()
+				for _, o := range f.nodes[1:] {
+					o.updatePeer(self, false) // the store is faster than the links
+				}
+				time.Sleep(3 * time.Second)
+				beat.seq = 20
+				is.NoErr(beat.send(n.Node))
+				time.Sleep(time.Second)
+				is.True(n.slots.Status().Closed)
+				is.Equal(other.inUse(n.addr), "")
+			})
+		})
+	}
+}
