mesh: Leave the entry of a stopped daemon whose backend server left

A backend server that had left was in use again after the daemon beside it was stopped and started again some seconds later.

Cause: a graceful stop removed the entry, the only copy of the departure in the store, and other daemons forget a daemon that neither the store nor a link has after 3 s.

Change: Close leaves an entry with departures; it ends with its lease, at most 12 s later.

Evidence: TestStopRemembersDeparture, in virtual time; 2 of 5 cases failed before, in 3 of 3 runs, the others passed:

rejoin_test.go:183: false != true --- FAIL: TestStopRemembersDeparture/started_late --- FAIL: TestStopRemembersDeparture/left_while_stopping,_started_late

Remains: a daemon that starts after the lease has ended, when no other one was linked to it.

--- a/mesh/node.go
+++ b/mesh/node.go
@@ -153,9 +153,12 @@
 // drainCheckInterval is how often Drain checks for running requests.
 const drainCheckInterval = 20 * time.Millisecond
 
-// Close removes the daemon's entry from the store, closes all links and waits for its goroutines.
+// Close removes the daemon's entry from the store, closes all links and waits for its goroutines. An entry with
+// departures stays until its lease ends, for the daemon's next process: other daemons forget it after missingTime.
 func (n *Node) Close() {
-	n.revokeLease()
+	if !n.hasDepartures() {
+		n.revokeLease()
+	}
 	n.stop()
 	n.closeLinks()
 	n.wg.Wait()
--- a/mesh/rejoin_test.go
+++ b/mesh/rejoin_test.go
@@ -133,3 +133,56 @@
 		})
 	}
 }
+
+// TestStopRemembersDeparture guards against a backend server that is in use again after it left, because the daemon
+// beside it removed its entry when it was stopped, and the other daemons forgot it before it was started again.
+func TestStopRemembersDeparture(t *testing.T) {
+	tests := map[string]struct {
+		whileStopping bool          // the leave was acknowledged
+		pause         time.Duration // until the next start
+		serverID      string        // of the late heartbeat; empty: the one that left
+		want          string
+	}{
+		"started soon":                        {false, 500 * time.Millisecond, "", ""},
+		"started late":                        {false, 2 * missingTime, "", ""},
+		"left while stopping":                 {true, 500 * time.Millisecond, "", ""},
+		"left while stopping, started late":   {true, 2 * missingTime, "", ""},
+		"another server, daemon started late": {false, 2 * missingTime, "i-2", "i-2"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newSyncFleet(t, 2, 2)
+				defer f.stopAll()
+				f.startAll()
+				n, other := f.nodes[0], f.nodes[3]
+				left := n.currentServer()
+				if !tt.whileStopping {
+					is.NoErr(n.ServerLeft(left.ID, left.Born))
+					time.Sleep(time.Second)
+				}
+				n.Drain(t.Context())
+				if tt.whileStopping {
+					is.NoErr(n.ServerLeft(left.ID, left.Born))
+				}
+				time.Sleep(time.Second)
+				n.Close()
+				f.kill(n)
+				f.kill(f.nodes[1]) // all daemons are restarted in turn
+				f.start(f.nodes[1])
+				time.Sleep(tt.pause)
+				f.startAlone(n)
+				time.Sleep(900 * time.Millisecond)
+				late := serverReport{left.ID, left.Born, 19, Ready}
+				if tt.serverID != "" {
+					late.id = tt.serverID
+				}
+				is.NoErr(late.send(n.Node))
+				time.Sleep(2 * time.Second)
+				is.Equal(n.slots.Status().Closed, tt.want == "")
+				is.Equal(other.inUse(n.addr) != "", tt.want != "")
+			})
+		})
+	}
+}
--- a/mesh/server.go
+++ b/mesh/server.go
@@ -167,6 +167,12 @@
 	return origin.New(origin.Deps{Addr: addr, Names: n.d.Names, Dial: n.d.Dial, Bodies: n.bodies})
 }
 
+// hasDepartures reports whether a backend server beside the daemon left.
+func (n *Node) hasDepartures() bool {
+	self := n.self()
+	return len(self.departures()) > 0
+}
+
 // hasReports reports whether a backend server is known, or one that left.
 func (n *Node) hasReports() bool {
 	n.mu.Lock()
