mesh: Store a departure before it is acknowledged

A backend server was in use again after its leave had been acknowledged, when the daemon was killed right after the acknowledgement.

Cause: the acknowledgement was sent as soon as the state was in force in the daemon; its entry was written and its links were notified later. An acknowledgement binds the machine, not the process.

Change: the answer to a leave, or to a heartbeat that says draining, waits until the entry with the departure is in the store, for 0.5 s at most. The state is in force at once, as before. A backend server expects the answer within 1 s (PROTOCOL.md) and repeats; a call to the store takes 4 ms, 400 ms when it is slow. A departure that is stored already is acknowledged at once.

Remains: the store unavailable, no link open, and a kill: nothing outside the process knows.

--- a/mesh/departures.go
+++ b/mesh/departures.go
@@ -13,6 +13,9 @@
 	// maxDepartures limits the departures that are kept. A VM has one backend server at a time, and the first
 	// heartbeat of a process removes those of the processes before it.
 	maxDepartures = 32
+	// departureWait is how long the acknowledgement of a departure waits for the store. It is half of the time in
+	// which a backend server expects it, and more than a call to a slow store takes.
+	departureWait = 500 * time.Millisecond
 )
 
 var (
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -63,6 +63,7 @@
 	suspects *poison.Suspects
 	links    links
 	subs     *subscriptions
+	stored   *storedSeq
 
 	configMu sync.Mutex // held while a configuration is adopted and passed on
 	stateMu  sync.Mutex // held while store entries are applied and passed on
@@ -80,13 +81,14 @@
 	stop                 context.CancelFunc
 	wg                   sync.WaitGroup
 
-	mu         sync.Mutex
-	server     *localServer // beside the daemon; nil: none is known. Replaced, never modified.
-	departures departures   // of processes other than that of server
-	seq        int64
-	doc        *document // the configuration in force; nil: none
-	conns      map[*link.Conn]struct{}
-	entry      ownEntry
+	mu           sync.Mutex
+	server       *localServer // beside the daemon; nil: none is known. Replaced, never modified.
+	departures   departures   // of processes other than that of server
+	seq          int64
+	doc          *document // the configuration in force; nil: none
+	conns        map[*link.Conn]struct{}
+	entry        ownEntry
+	departureSeq int64 // sequence number of the last state with a new departure
 	// storeLatency is the shortest call to the store so far; zero: none has succeeded.
 	storeLatency time.Duration
 }
@@ -102,8 +104,8 @@
 		latencies: newLatencyStats(), suspects: poison.New(poison.Deps{Log: d.Log, Stats: d.Stats}),
 		bodies: origin.NewBodyBudget(d.Config.BodyMemory),
 		links:  links{open: map[ident.Addr]*pendingLink{}},
-		subs:   newSubscriptions(),
-		conns:  map[*link.Conn]struct{}{}, entryOutdated: make(chan struct{}, 1), newerVersion: make(chan struct{}, 1),
+		subs:   newSubscriptions(), stored: newStoredSeq(),
+		conns: map[*link.Conn]struct{}{}, entryOutdated: make(chan struct{}, 1), newerVersion: make(chan struct{}, 1),
 	}
 	n.retries = retry.NewSharedBudget(d.Config.Retries, n.peers.daemons, d.Now)
 	n.ctx, n.stop = context.WithCancel(context.Background())
--- a/mesh/register.go
+++ b/mesh/register.go
@@ -128,6 +128,7 @@
 		e := n.entry
 		n.mu.Unlock()
 		if e.writtenSeq == self.Seq {
+			n.stored.set(self.Seq)
 			return nil
 		}
 		if e.lease == 0 {
--- a/mesh/server.go
+++ b/mesh/server.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"context"
 	"fmt"
 	"time"
 
@@ -96,7 +97,7 @@
 			n.mu.Unlock()
 			if added {
 				n.d.Log.Emit(event.BackendChanged, "Server", id, "State", Gone, "Born", born)
-				n.publish()
+				n.publishDeparture()
 			}
 			return err
 		}
@@ -159,7 +160,11 @@
 	}
 	if changed {
 		n.d.Log.Emit(event.BackendChanged, "Server", s.ID, "Service", s.Service, "State", s.State, "Slots", s.Slots, "Seq", s.seq, "Born", s.Born)
-		n.publish()
+		if s.State == Ready {
+			n.publish()
+		} else {
+			n.publishDeparture()
+		}
 	}
 }
 
@@ -167,6 +172,26 @@
 	return origin.New(origin.Deps{Addr: addr, Names: n.d.Names, Dial: n.d.Dial, Bodies: n.bodies})
 }
 
+// AwaitDeparture waits until the store holds the departures reported so far, so that they outlive this process. It
+// returns after departureWait at the latest, as a backend server must get its acknowledgement also while the store is
+// unavailable; by then the notices of the departures have left over the links.
+func (n *Node) AwaitDeparture(ctx context.Context) {
+	n.mu.Lock()
+	seq := n.departureSeq
+	n.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, departureWait)
+	defer cancel()
+	n.stored.wait(ctx, seq)
+}
+
+// publishDeparture is publish for a change that AwaitDeparture waits for.
+func (n *Node) publishDeparture() {
+	n.publish()
+	n.mu.Lock()
+	n.departureSeq = n.seq
+	n.mu.Unlock()
+}
+
 // hasDepartures reports whether a backend server beside the daemon left.
 func (n *Node) hasDepartures() bool {
 	self := n.self()
