proxy, daemon: Refuse late announcements of a process that has left

On the member path, calls were sent to a backend server that had announced Draining or Gone.

Cause: announcements have no sequence number. One that was sent before Draining or Gone and arrived after it put the process in force again, until its next announcement (1 s) or, if it had ended, until it counted as silent (3 s).

Change: Draining and Gone are final for a process with an incarnation. A later Starting or Ready of it is refused with status 409, like that of a former process, and counted as Backend.LeftProcess. Without an incarnation nothing changes: it may be another process.

Evidence: two new cases of TestAnnouncedIncarnation failed before, and the state was Ready:

backend_test.go:65: not true: errors.Is(err, tt.err) // error of the last announcement --- FAIL: TestAnnouncedIncarnation/late_after_a_drain --- FAIL: TestAnnouncedIncarnation/late_after_the_end

They pass now; two further new cases passed before and pass. The test rig of package proxy answers as the daemon does. Passed: go test -race ./daemon ./proxy ./admin, and go test ./emul ./demo ./cmd/....

Remains: a daemon of the member path keeps no departure across its own restart.

--- a/admin/server.go
+++ b/admin/server.go
@@ -27,6 +27,10 @@
 // announced itself.
 var ErrFormerProcess = errors.New("announcement of a former process of the backend server: another Incarnation has followed it")
 
+// ErrLeftProcess is returned by Deps.Announce if the same process of the backend server has already announced
+// Draining or Gone.
+var ErrLeftProcess = errors.New("announcement of a process of the backend server that has left: it has announced Draining or Gone")
+
 // Deps are the functions of the daemon that the Server calls.
 type Deps struct {
 	Ready    func() error // returns why the daemon does not serve calls, or nil
--- a/daemon/backend.go
+++ b/daemon/backend.go
@@ -31,7 +31,8 @@
 
 // handleAnnouncement applies an announcement of the backend server and publishes changes. It returns
 // admin.ErrWrongServer if the service differs from that of earlier announcements, and
-// admin.ErrFormerProcess if a later process has already announced itself.
+// admin.ErrFormerProcess if a later process has already announced itself, and admin.ErrLeftProcess if this one
+// had announced that it leaves.
 func (d *Daemon) handleAnnouncement(a admin.Announcement) error {
 	d.backend.announceMu.Lock()
 	defer d.backend.announceMu.Unlock()
@@ -41,9 +42,13 @@
 	}
 	st := peers.State(a.State)
 	process := d.target.Announced(a.Incarnation, st == peers.Draining || st == peers.Gone)
-	if process == proxy.ProcessStale {
+	switch process {
+	case proxy.ProcessStale:
 		d.stats.Inc("Backend.FormerProcess")
 		return admin.ErrFormerProcess
+	case proxy.ProcessLeft:
+		d.stats.Inc("Backend.LeftProcess")
+		return admin.ErrLeftProcess
 	}
 	d.backend.mu.Lock()
 	changed := d.backend.last != a || d.backend.state != st
--- a/daemon/backend_test.go
+++ b/daemon/backend_test.go
@@ -36,6 +36,10 @@
 		"ended":                                {[]admin.Announcement{announcement(1, peers.Gone), announcement(2, peers.Ready)}, nil, coldLimit, 2, 0},
 		"late drain of the former process":     {[]admin.Announcement{announcement(2, peers.Ready), announcement(1, peers.Draining)}, admin.ErrFormerProcess, coldLimit, 2, 1},
 		"none given":                           {[]admin.Announcement{announcement(0, peers.Ready)}, nil, warmLimit, 0, 0},
+		"late after a drain":                   {[]admin.Announcement{announcement(1, peers.Draining), announcement(1, peers.Ready)}, admin.ErrLeftProcess, warmLimit, 1, 0},
+		"late after the end":                   {[]admin.Announcement{announcement(1, peers.Gone), announcement(1, peers.Starting)}, admin.ErrLeftProcess, warmLimit, 1, 0},
+		"end after a drain":                    {[]admin.Announcement{announcement(1, peers.Draining), announcement(1, peers.Gone)}, nil, warmLimit, 1, 0},
+		"ended, none given":                    {[]admin.Announcement{announcement(0, peers.Gone), announcement(0, peers.Ready)}, nil, coldLimit, 0, 0},
 		"none given, then first process again": {[]admin.Announcement{announcement(0, peers.Ready), announcement(1, peers.Ready)}, nil, warmLimit, 1, 0},
 	}
 	for name, tt := range tests {
--- a/proxy/lives.go
+++ b/proxy/lives.go
@@ -22,6 +22,7 @@
 	ProcessReplaced ProcessChange = "New"     // another process, after the former one had announced that it drains
 	ProcessCrashed  ProcessChange = "Crashed" // another process, although the former one had not announced that it drains
 	ProcessStale    ProcessChange = "Former"  // a late announcement of a former process
+	ProcessLeft     ProcessChange = "Left"    // a late announcement of the known process, which had announced that it drains
 )
 
 // processTracker tells the processes of the backend server apart by the incarnations that they
@@ -29,7 +30,7 @@
 type processTracker struct {
 	mu        sync.Mutex
 	known     ident.Incarnation // zero: none announced so far
-	leaving   bool              // the last announcement said that the process drains or has ended
+	leaving   bool              // the process announced that it drains or has ended
 	lastHeard time.Time         // when the last announcement came
 	former    map[ident.Incarnation]time.Time
 	process   *process
@@ -61,6 +62,9 @@
 	if _, ok := l.former[inc]; ok {
 		return ProcessStale, nil, lastHeard
 	}
+	if inc != 0 && inc == l.known && l.leaving && !leaving {
+		return ProcessLeft, nil, lastHeard
+	}
 	change = ProcessSame
 	switch {
 	case inc == 0 || inc == l.known:
--- a/proxy/rig_test.go
+++ b/proxy/rig_test.go
@@ -180,7 +180,7 @@
 		return
 	}
 	leaving := a.State == emul.BackendDraining || a.State == emul.BackendGone
-	if t.Announced(a.Incarnation, leaving) == ProcessStale {
+	if c := t.Announced(a.Incarnation, leaving); c == ProcessStale || c == ProcessLeft {
 		w.WriteHeader(http.StatusConflict)
 		return
 	}
