quota: Answer a retired address when its removal is written

An operator who retired the address of a lost VM was answered with success, and the address stayed listed, with its units reserved for up to 4 h.

Cause: the keeper marked the holder in its memory and answered; the record was written by the next maintenance, up to 0.2 s later. A keeper that ended before that, or had no store, lost the mark. The same class: an acknowledgement without a state that outlives it.

Change: the keeper answers when the record without the holder is written, or with an error after 1.5 s; the daemon that the operator asks waits 2 s. A removal that was not written in time is still tried, as before.

--- a/quota/faults_test.go
+++ b/quota/faults_test.go
@@ -147,7 +147,7 @@
 			n.kill()
 			s.addNode("vm-new:7000")
 			time.Sleep(time.Minute)
-			if err := s.keeperNode().process.Load().keeper.handleRetire(Retire{Service: testService, Addr: n.addr}); err != nil {
+			if err := s.keeperNode().process.Load().keeper.handleRetire(s.parentCtx, Retire{Service: testService, Addr: n.addr}); err != nil {
 				t.Error(err)
 			}
 			time.Sleep(40 * time.Second)
--- a/quota/keeperhandle.go
+++ b/quota/keeperhandle.go
@@ -8,14 +8,14 @@
 )
 
 // Handle handles TypeSync, TypeLeave and TypeRetire messages.
-func (k *Keeper) Handle(_ context.Context, _ *wire.Conn, t wire.Type, body []byte) ([]byte, error) {
+func (k *Keeper) Handle(ctx context.Context, _ *wire.Conn, t wire.Type, body []byte) ([]byte, error) {
 	switch t {
 	case TypeSync:
 		return wire.HandleRequest(body, k.handleSync)
 	case TypeLeave:
 		return wire.HandleRequest(body, k.handleLeave)
 	case TypeRetire:
-		return wire.HandleRequest(body, func(m Retire) (struct{}, error) { return struct{}{}, k.handleRetire(m) })
+		return wire.HandleRequest(body, func(m Retire) (struct{}, error) { return struct{}{}, k.handleRetire(ctx, m) })
 	}
 	return nil, fmt.Errorf("keeper: unknown message %s", t)
 }
--- a/quota/keepersync.go
+++ b/quota/keepersync.go
@@ -1,10 +1,12 @@
 package quota
 
 import (
+	"context"
 	"fmt"
 	"slices"
 	"time"
 
+	"github.com/marjoramcroft/marjoramcroft/delay"
 	"github.com/marjoramcroft/marjoramcroft/ident"
 )
 
@@ -226,20 +228,51 @@
 	return Left{Clean: true}, nil
 }
 
-// handleRetire handles a Retire.
-func (k *Keeper) handleRetire(m Retire) error {
+const (
+	// retireTimeout is how long the answer to a Retire waits for the record. The daemon of the operator waits 2 s.
+	retireTimeout = 1500 * time.Millisecond
+	// retireCheckInterval is how often it checks that the record is written, a quarter of maintainInterval.
+	retireCheckInterval = maintainInterval / 4
+)
+
+// handleRetire handles a Retire. It returns when the record without the holder is written, since a later keeper
+// knows only the record. After an error the removal may still be done.
+func (k *Keeper) handleRetire(ctx context.Context, m Retire) error {
+	t, err := k.markRetired(m)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, retireTimeout)
+	defer cancel()
+	for delay.Sleep(ctx, retireCheckInterval) {
+		k.mu.Lock()
+		removed := t.peers[m.Addr] == nil
+		ended := k.term != t
+		k.mu.Unlock()
+		switch {
+		case removed:
+			return nil
+		case ended:
+			return ErrNotKeeper
+		}
+	}
+	return fmt.Errorf("the removal of %s is not written yet: %w", m.Addr, ctx.Err())
+}
+
+// markRetired has the holder removed with the next record, and returns the current term.
+func (k *Keeper) markRetired(m Retire) (*term, error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	t := k.term
 	if !k.termValid(t) || m.Service != k.d.Service {
-		return ErrNotKeeper
+		return nil, ErrNotKeeper
 	}
 	p := t.peers[m.Addr]
 	if p == nil {
-		return fmt.Errorf("address %s is not listed", m.Addr)
+		return nil, fmt.Errorf("address %s is not listed", m.Addr)
 	}
 	p.retired = true
-	return nil
+	return t, nil
 }
 
 // holderList returns the list as sent to holders at the wall time now.
--- a/quota/random_test.go
+++ b/quota/random_test.go
@@ -108,7 +108,7 @@
 		// Only a VM whose process and calls have ended is retired.
 		if n != k && n.process.Load().dead() {
 			time.Sleep(s.longTimeout + StopGrace)
-			_ = k.process.Load().keeper.handleRetire(Retire{Service: testService, Addr: n.addr})
+			_ = k.process.Load().keeper.handleRetire(s.parentCtx, Retire{Service: testService, Addr: n.addr})
 		}
 	case "leave":
 		p := n.process.Load()
