--- a/mesh/node.go
+++ b/mesh/node.go
@@ -67,7 +67,8 @@
 
 	configMu sync.Mutex // held while a configuration is adopted and passed on
 	stateMu  sync.Mutex // held while store entries are applied and passed on
-	asOf     int64      // revision of the store up to which all entries are known; zero: not yet. Guarded by stateMu
+	// asOf is the position of the store up to which all entries are known; revision zero: not yet. Guarded by stateMu.
+	asOf store.Position
 
 	stopping             atomic.Bool
 	storeReachable       atomic.Bool   // the last call to the store succeeded
@@ -85,10 +86,11 @@
 	server       *localServer // beside the daemon; nil: none is known. Replaced, never modified.
 	departures   departures   // of processes other than that of server
 	seq          int64
-	doc          *document // the configuration in force; nil: none
-	conns        map[*link.Conn]struct{}
+	doc          *document                 // the configuration in force; nil: none
+	conns        map[*link.Conn]ident.Addr // the daemon at the other end; empty until it has sent its state
 	entry        ownEntry
-	departureSeq int64 // sequence number of the last state with a new departure
+	departureSeq int64     // sequence number of the last state with a new departure
+	era          store.Era // highest era of the store so far; zero: not known
 	// storeLatency is the shortest call to the store so far; zero: none has succeeded.
 	storeLatency time.Duration
 }
@@ -105,7 +107,7 @@
 		bodies: origin.NewBodyBudget(d.Config.BodyMemory),
 		links:  links{open: map[ident.Addr]*pendingLink{}},
 		subs:   newSubscriptions(), stored: newStoredSeq(),
-		conns: map[*link.Conn]struct{}{}, entryOutdated: make(chan struct{}, 1), newerVersion: make(chan struct{}, 1),
+		conns: map[*link.Conn]ident.Addr{}, entryOutdated: make(chan struct{}, 1), newerVersion: make(chan struct{}, 1),
 	}
 	n.retries = retry.NewSharedBudget(d.Config.Retries, n.peers.daemons, d.Now)
 	n.ctx, n.stop = context.WithCancel(context.Background())
