mesh: Test a departure that a restored store lacks

The daemon that left a departure in the store is restarted while the store comes back from a copy of before.

--- a/mesh/rejoin_test.go
+++ b/mesh/rejoin_test.go
@@ -186,3 +186,29 @@
 		})
 	}
 }
+
+// TestRestoredStoreLacksDeparture guards against a backend server that is in use again after it left, because the
+// store came back from a copy of before while the daemon beside it was restarted.
+func TestRestoredStoreLacksDeparture(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newSyncFleet(t, 2, 2)
+		defer f.stopAll()
+		f.startAll()
+		n, other := f.nodes[0], f.nodes[3]
+		left := n.currentServer()
+		_, err := other.linkTo(t.Context(), n.addr) // as for a call
+		is.NoErr(err)
+		earlier := f.store.Copy()
+		is.NoErr(n.ServerLeft(left.ID, left.Born))
+		n.AwaitDeparture(t.Context())
+		f.kill(n)
+		f.store.Restore(earlier)
+		f.startAlone(n)
+		time.Sleep(900 * time.Millisecond)
+		is.NoErr(serverReport{left.ID, left.Born, 19, Ready}.send(n.Node))
+		time.Sleep(3 * time.Second)
+		is.True(n.slots.Status().Closed)
+		is.Equal(other.inUse(n.addr), "")
+	})
+}
