mesh: Keep a leave that does not state when its process started

The same assumption was in the case of a known server: an earlier process of the id was marked as gone, and a later one that had not been heard of was used.

Change: a leave without a start covers each process of the id that started before the leave arrived, by the clock of the VM, on which both run. One that starts later is not covered. The 503 remains only for too many departures; a known server's leave is taken nevertheless.

Evidence: failed on: TestLeaveAfterRestart/start_not_stated, 6 of 20 cases of TestLeaveOvertakesHeartbeat, 3 of 14 of TestRestartsRememberDeparture, for example

leave_test.go:152: err: no heartbeat of the backend server yet, and the report does not state when it started

They pass now.

--- a/mesh/departures.go
+++ b/mesh/departures.go
@@ -18,15 +18,20 @@
 	departureWait = 500 * time.Millisecond
 )
 
-var (
-	errUnknownServer     = errors.New("no heartbeat of the backend server yet, and the report does not state when it started")
-	errTooManyDepartures = errors.New("too many backend servers reported that they leave without a heartbeat")
-)
+var errTooManyDepartures = errors.New("too many backend servers reported that they leave without a heartbeat")
 
 // departure is a process of a backend server that reported that it is draining or gone. That is final.
 type departure struct {
 	ID   string
 	Born int64 // as in Server
+	// Earlier means that the report did not state the start of its process. Born is the time of the report instead,
+	// and each process of ID that started until then left.
+	Earlier bool `msgpack:",omitempty"`
+}
+
+// covers reports whether d implies x.
+func (d departure) covers(x departure) bool {
+	return d == x || (d.Earlier && d.ID == x.ID && x.Born <= d.Born)
 }
 
 // departures holds processes of backend servers that left, so that their late heartbeats are recognised. A process
@@ -40,15 +45,16 @@
 	since time.Time // on the steady clock
 }
 
-// add keeps x, and reports whether it is new. It fails if there are too many.
+// add keeps x, and reports whether it adds to what is known. It fails if there are too many.
 func (d *departures) add(x departure) (bool, error) {
 	d.list = slices.DeleteFunc(d.list, func(k keptDeparture) bool { return time.Since(k.since) > departureTTL })
 	for i := range d.list {
-		if d.list[i].departure == x {
+		if d.list[i].covers(x) {
 			d.list[i].since = time.Now()
 			return false, nil
 		}
 	}
+	d.list = slices.DeleteFunc(d.list, func(k keptDeparture) bool { return x.covers(k.departure) })
 	if len(d.list) >= maxDepartures {
 		return false, errTooManyDepartures
 	}
@@ -59,7 +65,7 @@
 // has reports whether x left.
 func (d *departures) has(x departure) bool {
 	return slices.ContainsFunc(d.list, func(k keptDeparture) bool {
-		return k.departure == x && time.Since(k.since) <= departureTTL
+		return k.covers(x) && time.Since(k.since) <= departureTTL
 	})
 }
 
--- a/mesh/peer.go
+++ b/mesh/peer.go
@@ -69,7 +69,7 @@
 func (p *Peer) lacking(q *Peer) []departure {
 	known := p.departures()
 	return slices.DeleteFunc(q.departures(), func(d departure) bool {
-		return slices.Contains(known, d) || (p.Server != nil && d.Born < p.Server.Born)
+		return slices.ContainsFunc(known, func(k departure) bool { return k.covers(d) }) || (p.Server != nil && d.Born < p.Server.Born)
 	})
 }
 
--- a/mesh/rejoin_test.go
+++ b/mesh/rejoin_test.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -42,6 +43,15 @@
 		"earlier server in use meanwhile": {
 			lives: [][]serverReport{{first, left(second)}, {first}, {second}},
 		},
+		"start not stated": {
+			lives: [][]serverReport{{{"i-1", 0, 0, Gone}}, {}, {first}},
+		},
+		"start not stated, store unavailable": {
+			lives: [][]serverReport{{{"i-1", 0, 0, Gone}}, {first}}, outage: emul.Rejecting,
+		},
+		"start not stated, later process of the id known": {
+			lives: [][]serverReport{{{"i-1", 0, 0, Gone}}, {{"i-1", afterTest, 1, Ready}}, {{"i-1", afterTest, 2, Ready}}}, want: fmt.Sprint("i-1/", afterTest),
+		},
 		"clock set back": {
 			lives: [][]serverReport{{first, left(first)}, {first}}, lag: time.Hour,
 		},
--- a/mesh/server.go
+++ b/mesh/server.go
@@ -77,34 +77,36 @@
 }
 
 // ServerLeft handles the report of the backend server id that its process started at born is leaving: the process
-// receives no further requests, even if its first heartbeat arrives later. A zero born means the process that is
-// known. The report is in force when ServerLeft returns; one that cannot be kept returns an error.
+// receives no further requests, even if its first heartbeat arrives later. A zero born means that the start is not
+// stated, and that each process of id that has started so far is gone. The report is in force when ServerLeft returns;
+// one that cannot be kept returns an error.
 func (n *Node) ServerLeft(id string, born int64) error {
 	n.mu.Lock()
 	cur := n.server
-	known := cur != nil && cur.ID == id && (born == 0 || born == cur.Born)
-	switch {
-	case born == 0 && !known:
-		n.mu.Unlock()
-		return errUnknownServer
-	case born != 0 && cur != nil && born < cur.Born:
+	if born != 0 && cur != nil && born < cur.Born {
 		n.mu.Unlock()
 		n.d.Stats.Inc("Server.LeaveLate")
 		return nil // its heartbeats are ignored
-	case !known:
-		added, err := n.departures.add(departure{ID: id, Born: born})
-		if err != nil || cur == nil || cur.ID != id {
-			n.mu.Unlock()
-			if added {
-				n.d.Log.Emit(event.BackendChanged, "Server", id, "State", Gone, "Born", born)
-				n.publishDeparture()
-			}
-			return err
+	}
+	left := departure{ID: id, Born: born}
+	if born == 0 {
+		left.Born, left.Earlier = n.d.Now().UnixMilli(), true
+	}
+	added, err := n.departures.add(left)
+	if cur == nil || cur.ID != id || (err != nil && born > cur.Born) {
+		n.mu.Unlock()
+		if added {
+			n.d.Log.Emit(event.BackendChanged, "Server", id, "State", Gone, "Born", born)
+			n.publishDeparture()
 		}
-		// The known process has ended, as a later one has its id.
+		return err
 	}
+	// The process is the known one, or that one has ended as a later one has its id.
 	if cur.State == Gone {
 		n.mu.Unlock()
+		if added {
+			n.publishDeparture()
+		}
 		return nil
 	}
 	next := *cur
