--- a/mesh/node.go
+++ b/mesh/node.go
@@ -63,6 +63,7 @@
 	suspects *poison.Suspects
 	links    links
 	subs     *subscriptions
+	stored   *storedSeq
 
 	configMu sync.Mutex // held while a configuration is adopted and passed on
 	stateMu  sync.Mutex // held while store entries are applied and passed on
@@ -84,14 +85,15 @@
 	stop                 context.CancelFunc
 	wg                   sync.WaitGroup
 
-	mu       sync.Mutex
-	server   *localServer // beside the daemon; nil: none is known. Replaced, never modified.
-	departed *Server      // process that had left before this daemon started; nil: none is known
-	seq      int64
-	doc      *document                 // the configuration in force; nil: none
-	conns    map[*link.Conn]ident.Addr // the daemon at the other end; empty until it has sent its state
-	entry    ownEntry
-	era      store.Era // highest era of the store so far; zero: not known
+	mu           sync.Mutex
+	server       *localServer // beside the daemon; nil: none is known. Replaced, never modified.
+	departures   departures   // of processes other than that of server
+	seq          int64
+	doc          *document                 // the configuration in force; nil: none
+	conns        map[*link.Conn]ident.Addr // the daemon at the other end; empty until it has sent its state
+	entry        ownEntry
+	departureSeq int64     // sequence number of the last state with a new departure
+	era          store.Era // highest era of the store so far; zero: not known
 	// storeLatency is the shortest call to the store so far; zero: none has succeeded.
 	storeLatency time.Duration
 }
@@ -107,8 +109,8 @@
 		latencies: newLatencyStats(), suspects: poison.New(poison.Deps{Log: d.Log, Stats: d.Stats}),
 		bodies: origin.NewBodyBudget(d.Config.BodyMemory),
 		links:  links{open: map[ident.Addr]*pendingLink{}},
-		subs:   newSubscriptions(),
-		conns:  map[*link.Conn]ident.Addr{}, entryOutdated: make(chan struct{}, 1), newerVersion: make(chan struct{}, 1),
+		subs:   newSubscriptions(), stored: newStoredSeq(),
+		conns: map[*link.Conn]ident.Addr{}, entryOutdated: make(chan struct{}, 1), newerVersion: make(chan struct{}, 1),
 	}
 	n.retries = retry.NewSharedBudget(d.Config.Retries, n.peers.daemons, d.Now)
 	n.ctx, n.stop = context.WithCancel(context.Background())
@@ -158,9 +160,12 @@
 // drainCheckInterval is how often Drain checks for running requests.
 const drainCheckInterval = 20 * time.Millisecond
 
-// Close removes the daemon's entry from the store, closes all links and waits for its goroutines.
+// Close removes the daemon's entry from the store, closes all links and waits for its goroutines. An entry with
+// departures stays until its lease ends, for the daemon's next process: other daemons forget it after missingTime.
 func (n *Node) Close() {
-	n.removeEntry()
+	if !n.hasDepartures() {
+		n.removeEntry()
+	}
 	n.stop()
 	n.closeLinks()
 	n.wg.Wait()
--- a/mesh/peer.go
+++ b/mesh/peer.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"slices"
 	"time"
 
 	"github.com/marjoramcroft/marjoramcroft/ident"
@@ -36,6 +37,9 @@
 	Seq      int64
 	Stopping bool
 	Server   *Server // nil: none is known
+	// Departed holds processes of backend servers that left, other than Server, so that they outlive the daemon.
+	// Other daemons add those of its earlier lives.
+	Departed []departure `msgpack:",omitempty"`
 	// StoreLatency is the shortest call to the store that the daemon saw before it wrote its entry; zero: none.
 	StoreLatency time.Duration
 	// Era is the highest era of the store that the daemon knew. An entry that the store has in a later era is from the
@@ -51,6 +55,24 @@
 	return p.Seq > q.Seq
 }
 
+// departures returns the processes of backend servers beside the daemon that left.
+func (p *Peer) departures() []departure {
+	out := slices.Clone(p.Departed)
+	if p.Server != nil && p.Server.State != Ready {
+		out = append(out, p.Server.process())
+	}
+	return out
+}
+
+// lacking returns the departures in q that p does not have and that still matter to its backend server. q is
+// another state of the daemon at the same address.
+func (p *Peer) lacking(q *Peer) []departure {
+	known := p.departures()
+	return slices.DeleteFunc(q.departures(), func(d departure) bool {
+		return slices.ContainsFunc(known, func(k departure) bool { return k.covers(d) }) || (p.Server != nil && d.Born < p.Server.Born)
+	})
+}
+
 // serves reports whether the peer takes requests for service.
 func (p *Peer) serves(service ident.ServiceID) bool {
 	return !p.Stopping && p.Server != nil && p.Server.Service == service && p.Server.State == Ready
--- a/mesh/register.go
+++ b/mesh/register.go
@@ -116,11 +116,11 @@
 	}
 }
 
-// awaitBackend waits for the first heartbeat of the backend server.
+// awaitBackend waits for the first report of a backend server.
 func (n *Node) awaitBackend() {
 	t := time.NewTimer(n.d.Config.RegisterWait)
 	defer t.Stop()
-	for n.currentServer() == nil {
+	for !n.hasReports() {
 		select {
 		case <-n.ctx.Done():
 			return
@@ -157,6 +157,7 @@
 		e := n.entry
 		n.mu.Unlock()
 		if e.writtenSeq == self.Seq {
+			n.stored.set(self.Seq)
 			return nil
 		}
 		if e.lease == 0 {
--- a/mesh/server.go
+++ b/mesh/server.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"context"
 	"fmt"
 	"time"
 
@@ -56,11 +57,15 @@
 		next.client = n.newClient(h.Addr)
 		if cur != nil {
 			cur.client.Close()
+			if cur.leaving {
+				_, _ = n.departures.add(cur.process()) // fails only if there are many of processes without a heartbeat
+			}
 		}
+		n.departures.removeBefore(h.Started)
 	} else {
 		next.client, next.leaving = cur.client, cur.leaving
 	}
-	next.leaving = next.leaving || h.State == Draining || n.hasDeparted(&next.Server)
+	next.leaving = next.leaving || h.State == Draining || n.departures.has(next.process())
 	if next.leaving {
 		next.State = Draining
 	}
@@ -71,45 +76,76 @@
 	return nil
 }
 
-// ServerLeft handles the report of the backend server id that it is leaving: it receives no further requests.
-// Reports from a process started before the current one are ignored; a zero born is not checked.
-func (n *Node) ServerLeft(id string, born int64) {
+// ServerLeft handles the report of the backend server id that its process started at born is leaving: the process
+// receives no further requests, even if its first heartbeat arrives later. A zero born means that the start is not
+// stated, and that each process of id that has started so far is gone. The report is in force when ServerLeft returns;
+// one that cannot be kept returns an error.
+func (n *Node) ServerLeft(id string, born int64) error {
 	n.mu.Lock()
 	cur := n.server
-	if cur == nil || cur.ID != id || (born != 0 && born < cur.Born) || cur.State == Gone {
+	if born != 0 && cur != nil && born < cur.Born {
 		n.mu.Unlock()
-		return
+		n.d.Stats.Inc("Server.LeaveLate")
+		return nil // its heartbeats are ignored
+	}
+	left := departure{ID: id, Born: born}
+	if born == 0 {
+		left.Born, left.Earlier = n.d.Now().UnixMilli(), true
+	}
+	added, err := n.departures.add(left)
+	if cur == nil || cur.ID != id || (err != nil && born > cur.Born) {
+		n.mu.Unlock()
+		if added {
+			n.d.Log.Emit(event.BackendChanged, "Server", id, "State", Gone, "Born", born)
+			n.publishDeparture()
+		}
+		return err
+	}
+	// The process is the known one, or that one has ended as a later one has its id.
+	if cur.State == Gone {
+		n.mu.Unlock()
+		if added {
+			n.publishDeparture()
+		}
+		return nil
 	}
 	next := *cur
 	next.leaving, next.State = true, Gone
 	n.server = &next
 	n.mu.Unlock()
 	n.applyServer(&next, false, true)
+	return nil
 }
 
-// hasDeparted reports whether s is the process that had left before this daemon started. The caller holds n.mu.
-func (n *Node) hasDeparted(s *Server) bool {
-	return n.departed != nil && n.departed.ID == s.ID && n.departed.Born == s.Born
-}
+// process identifies the process of the backend server.
+func (s *Server) process() departure { return departure{ID: s.ID, Born: s.Born} }
 
-// rememberDeparture applies the state that the store or another daemon has of this daemon's earlier process. A
-// backend server that had left may have sent a heartbeat before, which arrives only now.
+// rememberDeparture applies the departures that the store or another daemon has from this daemon's earlier process.
+// A backend server that had left may have sent a heartbeat before, which arrives only now. The daemon's own entry
+// passes them on to its next process.
 func (n *Node) rememberDeparture(earlier Peer) {
 	n.mu.Lock()
-	if earlier.Life >= n.incarnation || earlier.Server == nil || earlier.Server.State == Ready {
+	if earlier.Life == n.incarnation {
 		n.mu.Unlock()
 		return
 	}
-	if n.departed == nil || n.departed.Born <= earlier.Server.Born {
-		n.departed = earlier.Server
+	cur, changed := n.server, false
+	for _, gone := range earlier.departures() {
+		if cur != nil && (gone.Born < cur.Born || (cur.leaving && cur.process() == gone)) {
+			continue
+		}
+		added, _ := n.departures.add(gone) // fails only if there are many of processes without a heartbeat
+		changed = changed || added
 	}
-	cur := n.server
-	if cur == nil || cur.leaving || !n.hasDeparted(&cur.Server) {
+	if cur == nil || cur.leaving || !n.departures.has(cur.process()) {
 		n.mu.Unlock()
+		if changed {
+			n.publish()
+		}
 		return
 	}
 	next := *cur
-	next.leaving, next.State = true, n.departed.State
+	next.leaving, next.State = true, Draining
 	n.server = &next
 	n.mu.Unlock()
 	n.applyServer(&next, false, true)
@@ -126,7 +162,11 @@
 	}
 	if changed {
 		n.d.Log.Emit(event.BackendChanged, "Server", s.ID, "Service", s.Service, "State", s.State, "Slots", s.Slots, "Seq", s.seq, "Born", s.Born)
-		n.publish()
+		if s.State == Ready {
+			n.publish()
+		} else {
+			n.publishDeparture()
+		}
 	}
 }
 
@@ -134,6 +174,39 @@
 	return origin.New(origin.Deps{Addr: addr, Names: n.d.Names, Dial: n.d.Dial, Bodies: n.bodies})
 }
 
+// AwaitDeparture waits until the store holds the departures reported so far, so that they outlive this process. It
+// returns after departureWait at the latest, as a backend server must get its acknowledgement also while the store is
+// unavailable; by then the notices of the departures have left over the links.
+func (n *Node) AwaitDeparture(ctx context.Context) {
+	n.mu.Lock()
+	seq := n.departureSeq
+	n.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, departureWait)
+	defer cancel()
+	n.stored.wait(ctx, seq)
+}
+
+// publishDeparture is publish for a change that AwaitDeparture waits for.
+func (n *Node) publishDeparture() {
+	n.publish()
+	n.mu.Lock()
+	n.departureSeq = n.seq
+	n.mu.Unlock()
+}
+
+// hasDepartures reports whether a backend server beside the daemon left.
+func (n *Node) hasDepartures() bool {
+	self := n.self()
+	return len(self.departures()) > 0
+}
+
+// hasReports reports whether a backend server is known, or one that left.
+func (n *Node) hasReports() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.server != nil || len(n.departures.list) > 0
+}
+
 // currentServer returns the backend server beside the daemon; nil if none is known.
 func (n *Node) currentServer() *localServer {
 	n.mu.Lock()
--- a/mesh/syncfleet_test.go
+++ b/mesh/syncfleet_test.go
@@ -41,6 +41,8 @@
 	addr  ident.Addr
 	place ident.Place
 	up    atomic.Bool // in touch with the others
+	// clockLag is how far the clock of the next process is behind.
+	clockLag time.Duration
 }
 
 const (
@@ -64,18 +66,29 @@
 	return f
 }
 
-// start starts the process of n.
+// start starts the process of n, to which a new backend server reports soon after.
 func (f *syncFleet) start(n *syncNode) { f.startWith(n, f.driver(n)) }
 
-// startWith starts the process of n with another driver of the store.
+// startWith is start with another driver of the store.
 func (f *syncFleet) startWith(n *syncNode, d store.Driver) {
+	f.startAlone(n, d)
+	node := n.Node
+	time.AfterFunc(700*time.Millisecond, func() {
+		_ = node.HandleHeartbeat(Heartbeat{ID: string(n.addr), Service: "s", Addr: "x:1", Slots: 4, State: Ready, Seq: 1, Started: time.Now().UnixMilli()})
+	})
+}
+
+// startAlone starts the process of n, to which no backend server reports.
+func (f *syncFleet) startAlone(n *syncNode, d store.Driver) {
 	set := stats.New()
 	cfg := DefaultConfig()
 	sc := store.DefaultConfig()
 	sc.Budget, sc.Budgets = store.Budget{Reads: 1000, ReadBurst: 1000, Writes: 1000, WriteBurst: 1000}, nil
 	sc.Attempts, sc.Timeout, sc.OpenFor = 1, time.Second, 300*time.Millisecond
 	sc.WatchPeriod = cfg.WatchWait() + 600*time.Millisecond
+	lag := n.clockLag
 	n.Node = New(Deps{
+		Now:  func() time.Time { return time.Now().Add(-lag) },
 		Self: n.addr, Place: n.place, Caller: func() ident.ServiceID { return "s" }, Config: cfg, Names: testNames, Keys: testKeys,
 		Decode: decodeTestDocument, Log: event.Discard(), Stats: set, Random: rand.Float64,
 		Dial: func(ctx context.Context, _, addr string) (net.Conn, error) {
@@ -87,9 +100,6 @@
 	f.net.Listen(n.addr, n.place, func(c net.Conn) { go node.serveLink(link.New(c, node.handlers())) })
 	n.up.Store(true)
 	node.Start()
-	time.AfterFunc(700*time.Millisecond, func() {
-		_ = node.HandleHeartbeat(Heartbeat{ID: string(n.addr), Service: "s", Addr: "x:1", Slots: 4, State: Ready, Seq: 1, Started: time.Now().UnixMilli()})
-	})
 }
 
 // kill ends the process of n.
