store, daemon: Follow head across a restore of the store

What operators see after the store came back from a copy: a change that was accepted is not in force. The root of the store's region waited with its watch of head for the revision that the store had before, and took a head at a lower revision for an old one.

Cause: watches started from a revision, and the gateway driver did not know the era. Its driver now takes the era from the header Store-Era of each answer; a store that sends none is in era zero and behaves as before. Watch takes a position. In another era it returns the present state at once, even if the store has passed the old revision again, so that the caller follows from there. Its only caller is the daemon's watch of head, which now orders heads by position; a head of a lower Version is remembered for the next watch and otherwise ignored, since a root loads only higher ones.

The emulated gateway states the era, and breaks the connection of a call during which the store is restored, since its answer would be of neither era.

TestWatchHeadAfterRestore failed on: "store Watch head: store unavailable: context deadline exceeded". It passes, and so does the new case of the drivers' contract, with both drivers.

--- a/accept/head.go
+++ b/accept/head.go
@@ -30,6 +30,7 @@
 	SheetVersion ident.Version // the last Version that a sheet produced
 	SheetTime    time.Time     // when SheetVersion was accepted
 	Revision     int64         `json:"-"` // of the key in the store
+	ReadIn       store.Era     `json:"-"` // era of the store when it was read
 
 	// The following fields are set by Examine only.
 	Floor          ident.Version `json:"-"` // highest Version that may have been accepted; the next one is above it
@@ -41,7 +42,7 @@
 // errors wrap ErrCorrupt.
 func DecodeHead(v store.Value) (Head, error) {
 	if v.Revision == 0 {
-		return Head{}, nil
+		return Head{ReadIn: v.Era}, nil
 	}
 	h := Head{}
 	if err := json.Unmarshal(v.Data, &h); err != nil {
@@ -50,10 +51,13 @@
 	if h.Version == 0 {
 		return Head{}, fmt.Errorf("%w: %s without version", ErrCorrupt, HeadKey)
 	}
-	h.Revision = v.Revision
+	h.Revision, h.ReadIn = v.Revision, v.Era
 	return h, nil
 }
 
+// Position returns the position in the store at which the head was read.
+func (h Head) Position() store.Position { return store.Position{Era: h.ReadIn, Revision: h.Revision} }
+
 // Accepted returns the Version that the change id produced, if it is among the latest changes.
 func (h Head) Accepted(id ident.ChangeID) (ident.Version, bool) {
 	for _, c := range h.Changes {
--- a/daemon/storeadapter.go
+++ b/daemon/storeadapter.go
@@ -35,7 +35,7 @@
 	heldAgreement func() *agree.Agreement // returns the newest agreement that the daemon holds
 
 	mu   sync.Mutex
-	head accept.Head // newest head read so far
+	head accept.Head // latest head read so far; its Version is lower than before if the store lost Versions
 }
 
 func (s *storeAdapter) fanout() fanout.Store {
@@ -57,7 +57,7 @@
 func (s *storeAdapter) rememberHead(h accept.Head) accept.Head {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if h.Revision > s.head.Revision {
+	if h.Position().After(s.head.Position()) {
 		s.head = h
 	}
 	return h
@@ -102,14 +102,14 @@
 	return s.accept.Advance(ctx, s.rememberHead(h), s.heldAgreement())
 }
 
-// watchHead waits for a head after Version after. It watches from the revision last read, so that each
+// watchHead waits for a head after Version after. It watches from the position last read, so that each
 // change takes one watch.
 func (s *storeAdapter) watchHead(ctx context.Context, after ident.Version) (ident.Version, agree.Hash, error) {
 	h := s.lastHead()
 	if h.Version > after {
 		return h.Version, h.Hash, nil
 	}
-	v, err := s.root.Watch(ctx, accept.HeadKey, h.Revision)
+	v, err := s.root.Watch(ctx, accept.HeadKey, h.Position())
 	if err != nil {
 		return 0, 0, err
 	}
--- a/emul/store_test.go
+++ b/emul/store_test.go
@@ -30,7 +30,7 @@
 		is := is.New(t)
 		v, err := d.Get(t.Context(), "a")
 		is.NoErr(err)
-		is.Equal(v, store.Value{Key: "a", Era: eraOf(d)})
+		is.Equal(v, store.Value{Key: "a", Era: 1})
 	},
 	"swap of an outdated revision writes nothing and returns the current value": func(t *testing.T, _ *Store, d store.Driver) {
 		is := is.New(t)
@@ -138,7 +138,7 @@
 		is.NoErr(err)
 		second, err := d.Swap(t.Context(), "a", first.Revision, []byte("2"), 0)
 		is.NoErr(err)
-		for _, after := range []int64{0, first.Revision} {
+		for _, after := range []store.Position{{}, first.Position()} {
 			v, err := d.Watch(t.Context(), "a", after)
 			is.NoErr(err)
 			is.Equal(v, second)
@@ -151,42 +151,68 @@
 		second, err := d.Swap(t.Context(), "a", first.Revision, []byte("2"), 0)
 		is.NoErr(err)
 		s.Compact()
-		v, err := d.Watch(t.Context(), "a", first.Revision)
+		v, err := d.Watch(t.Context(), "a", first.Position())
 		is.NoErr(err)
 		is.Equal(v, second)
 	},
 	"waiting watch sees a write, and then a deletion": func(t *testing.T, s *Store, d store.Driver) {
 		is := is.New(t)
-		got := startWatch(t, s, d, "a", 0)
+		got := startWatch(t, s, d, "a", store.Position{})
 		v, err := d.Swap(t.Context(), "a", 0, []byte("1"), 0)
 		is.NoErr(err)
 		is.Equal((<-got).v, v)
-		got = startWatch(t, s, d, "a", v.Revision)
+		got = startWatch(t, s, d, "a", v.Position())
 		_, err = d.Swap(t.Context(), "other", 0, nil, 0)
 		is.NoErr(err)
 		is.NoErr(d.Delete(t.Context(), "a", 0))
-		is.Equal((<-got).v, store.Value{Key: "a", Era: eraOf(d)})
+		is.Equal((<-got).v, store.Value{Key: "a", Era: 1})
 	},
 	"watch of a deleted key returns at once": func(t *testing.T, _ *Store, d store.Driver) {
 		is := is.New(t)
 		v, err := d.Swap(t.Context(), "a", 0, []byte("1"), 0)
 		is.NoErr(err)
 		is.NoErr(d.Delete(t.Context(), "a", 0))
-		got, err := d.Watch(t.Context(), "a", v.Revision)
+		got, err := d.Watch(t.Context(), "a", v.Position())
 		is.NoErr(err)
 		is.Equal(got.Revision, int64(0))
 	},
+	"restored store shows its state to a watch from before": func(t *testing.T, s *Store, d store.Driver) {
+		is := is.New(t)
+		kept, err := d.Swap(t.Context(), "a", 0, []byte("kept"), 0)
+		is.NoErr(err)
+		c := s.Copy()
+		lost, err := d.Swap(t.Context(), "a", kept.Revision, []byte("lost"), 0)
+		is.NoErr(err)
+		got := startWatch(t, s, d, "a", lost.Position())
+		s.Restore(c)
+		is.True((<-got).err != nil)
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		v, err := d.Watch(ctx, "a", lost.Position())
+		is.NoErr(err)
+		is.Equal(string(v.Data), "kept")
+		is.Equal(v.Position(), store.Position{Era: 2, Revision: kept.Revision})
+		is.Equal(d.Era(), store.Era(2))
+		got = startWatch(t, s, d, "a", v.Position())
+		again, err := d.Swap(t.Context(), "a", kept.Revision, []byte("again"), 0)
+		is.NoErr(err)
+		is.Equal((<-got).v, again)
+		is.Equal(again.Revision, lost.Revision)
+		v, err = d.Watch(ctx, "a", lost.Position())
+		is.NoErr(err)
+		is.Equal(v, again) // although the store has passed the old revision
+	},
 	"cancelled watch ends and is no longer counted": func(t *testing.T, s *Store, d store.Driver) {
 		is := is.New(t)
 		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 		defer cancel()
-		_, err := d.Watch(ctx, "a", 0)
+		_, err := d.Watch(ctx, "a", store.Position{})
 		is.True(errors.Is(err, context.DeadlineExceeded))
 		waitFor(t, func() bool { return s.Watching() == 0 })
 	},
 	"rejecting outage leaves the store unchanged and breaks watches": func(t *testing.T, s *Store, d store.Driver) {
 		is := is.New(t)
-		got := startWatch(t, s, d, "a", 0)
+		got := startWatch(t, s, d, "a", store.Position{})
 		s.SetOutage(Rejecting)
 		is.True((<-got).err != nil)
 		_, err := d.Swap(t.Context(), "a", 0, nil, 0)
@@ -234,7 +260,7 @@
 }
 
 // startWatch starts a watch and returns once it is waiting in s.
-func startWatch(t *testing.T, s *Store, d store.Driver, key string, after int64) <-chan watched {
+func startWatch(t *testing.T, s *Store, d store.Driver, key string, after store.Position) <-chan watched {
 	t.Helper()
 	out := make(chan watched, 1)
 	go func() {
@@ -278,11 +304,3 @@
 	is.True(slices.IndexFunc(got, func(err error) bool { return errors.Is(err, store.ErrUnavailable) }) == 2)
 	is.Equal(s.Counts()["Get"], int64(3)) // rejected calls are counted, too
 }
-
-// eraOf returns the era that d states; zero if it states none.
-func eraOf(d store.Driver) store.Era {
-	if d.Era == nil {
-		return 0
-	}
-	return d.Era()
-}
--- a/emul/storedriver.go
+++ b/emul/storedriver.go
@@ -48,7 +48,7 @@
 		},
 		Renew:  func(ctx context.Context, id store.LeaseID) error { return answered(s.renewLease(ctx, id)) },
 		Revoke: func(ctx context.Context, id store.LeaseID) error { return answered(s.revokeLease(ctx, id)) },
-		Watch: func(ctx context.Context, key string, after int64) (store.Value, error) {
+		Watch: func(ctx context.Context, key string, after store.Position) (store.Value, error) {
 			v, err := s.watch(ctx, key, after)
 			return v, answered(err)
 		},
@@ -140,7 +140,7 @@
 	return err
 }
 
-func (s *Store) watch(ctx context.Context, key string, after int64) (store.Value, error) {
+func (s *Store) watch(ctx context.Context, key string, after store.Position) (store.Value, error) {
 	if err := s.admit(ctx, "Watch", s.reads); err != nil {
 		return store.Value{}, err
 	}
@@ -154,8 +154,7 @@
 			return store.Value{}, fmt.Errorf("%w: watch broken", store.ErrUnavailable)
 		}
 		if s.outage == NoOutage {
-			cur := s.value(key, s.keys[key])
-			if cur.Revision > after || (cur.Revision == 0 && after > 0) {
+			if cur := s.value(key, s.keys[key]); after.IsPassedBy(cur) {
 				return cur, nil
 			}
 		}
--- a/emul/storehttp.go
+++ b/emul/storehttp.go
@@ -21,7 +21,16 @@
 	mux.HandleFunc("POST /v3/lease/keepalive", serve(s.serveKeepAlive))
 	mux.HandleFunc("POST /v3/lease/revoke", serve(s.serveRevoke))
 	mux.HandleFunc("POST /v3/watch", s.serveWatch)
-	return mux
+	return s.stateEra(mux)
+}
+
+// stateEra adds the era to each answer. An answer to a call during which the store was restored is lost.
+func (s *Store) stateEra(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		era := s.Era()
+		w.Header().Set(store.HeaderEra, era.String())
+		next.ServeHTTP(&eraWriter{ResponseWriter: w, s: s, era: era}, r)
+	})
 }
 
 // errNotSupported rejects requests outside the subset.
@@ -196,7 +205,7 @@
 	if !s.unlocked(func() bool { return send(store.GatewayWatchResult{Created: true}) }) {
 		return
 	}
-	era := s.era
+	era := store.ParseEra(w.Header())
 	for {
 		if s.era != era {
 			return
--- a/store/client_test.go
+++ b/store/client_test.go
@@ -155,13 +155,13 @@
 		"watches alone close the circuit breaker after an outage": {nil, func(t *testing.T, is *is.I, c *testClient) {
 			c.emul.SetOutage(emul.Rejecting)
 			for range 3 {
-				_, err := c.Watch(t.Context(), "a", 0)
+				_, err := c.Watch(t.Context(), "a", store.Position{})
 				is.True(errors.Is(err, store.ErrUnavailable))
 			}
 			c.emul.SetOutage(emul.NoOutage)
 			time.Sleep(c.cfg.OpenFor)
 			time.AfterFunc(time.Second, func() { _, _ = c.emul.Driver().Swap(t.Context(), "a", 0, nil, 0) })
-			v, err := c.Watch(t.Context(), "a", 0)
+			v, err := c.Watch(t.Context(), "a", store.Position{})
 			is.NoErr(err)
 			is.True(v.Revision > 0)
 		}},
@@ -207,7 +207,7 @@
 				is.Equal(c.stats.Value("Store.Watching"), int64(1))
 				_, _ = c.emul.Driver().Swap(t.Context(), "a", 0, []byte("1"), 0)
 			})
-			v, err := c.Watch(t.Context(), "a", 0)
+			v, err := c.Watch(t.Context(), "a", store.Position{})
 			is.NoErr(err)
 			is.Equal(string(v.Data), "1")
 			is.Equal(c.emul.Counts()["Watch"], int64(3)) // at 0, 60 and 120 s
@@ -220,7 +220,7 @@
 			time.AfterFunc(30*time.Minute, func() { c.emul.SetOutage(emul.NoOutage) })
 			time.AfterFunc(31*time.Minute, func() { _, _ = c.emul.Driver().Swap(t.Context(), "a", 0, []byte("1"), 0) })
 			for {
-				v, err := c.Watch(t.Context(), "a", 0)
+				v, err := c.Watch(t.Context(), "a", store.Position{})
 				if err == nil {
 					is.Equal(string(v.Data), "1")
 					break
--- a/store/driver.go
+++ b/store/driver.go
@@ -26,9 +26,10 @@
 	Renew func(ctx context.Context, id LeaseID) error
 	// Revoke ends a lease and deletes its keys. ErrLeaseLost means that it has ended already.
 	Revoke func(ctx context.Context, id LeaseID) error
-	// Watch blocks until key is at a revision above after, or, if after is above 0, until key
-	// is deleted; it returns the current state in both cases. Intermediate states may be skipped.
-	Watch func(ctx context.Context, key string, after int64) (Value, error)
+	// Watch blocks until key is written after a position or, if its revision is above 0, until key is deleted. With
+	// a position of another era whose revision is above 0 it does not block. It returns the current state in all
+	// cases. Intermediate states may be skipped.
+	Watch func(ctx context.Context, key string, after Position) (Value, error)
 	// Snapshot returns the values whose keys have the prefix, and the position after which
 	// Follow returns all changes. Nil if not supported.
 	Snapshot func(ctx context.Context, prefix string) ([]Value, Position, error)
--- a/store/http.go
+++ b/store/http.go
@@ -17,6 +17,7 @@
 type gatewayDriver struct {
 	base   string
 	client *http.Client
+	eras   EraTracker
 }
 
 // NewHTTP returns a Driver for a store that serves the etcd v3 JSON gateway at the URL base. client
@@ -25,27 +26,28 @@
 	d := &gatewayDriver{base: strings.TrimSuffix(base, "/"), client: client}
 	return Driver{
 		Get: d.get, List: d.list, Swap: d.swap, Delete: d.remove,
-		Grant: d.grant, Renew: d.renew, Revoke: d.revoke, Watch: d.watch,
+		Grant: d.grant, Renew: d.renew, Revoke: d.revoke, Watch: d.watch, Era: d.eras.Era,
 	}
 }
 
 func (d *gatewayDriver) get(ctx context.Context, key string) (Value, error) {
 	var ans GatewayRangeResponse
-	if err := d.post(ctx, "/v3/kv/range", GatewayRange{Key: []byte(key)}, &ans); err != nil {
+	era, err := d.post(ctx, "/v3/kv/range", GatewayRange{Key: []byte(key)}, &ans)
+	if err != nil {
 		return Value{}, err
 	}
-	return firstValue(key, ans.KVs), nil
+	return firstValue(key, ans.KVs, era), nil
 }
 
-func firstValue(key string, kvs []GatewayKV) Value {
+func firstValue(key string, kvs []GatewayKV, e Era) Value {
 	if len(kvs) == 0 {
-		return Value{Key: key}
+		return Value{Key: key, Era: e}
 	}
-	return kvs[0].value()
+	return kvs[0].value(e)
 }
 
-func (kv GatewayKV) value() Value {
-	return Value{Key: string(kv.Key), Data: kv.Value, Revision: kv.ModRevision}
+func (kv GatewayKV) value(e Era) Value {
+	return Value{Key: string(kv.Key), Data: kv.Value, Revision: kv.ModRevision, Era: e}
 }
 
 func (d *gatewayDriver) list(ctx context.Context, prefix string) ([]Value, error) {
@@ -54,12 +56,13 @@
 	if prefix == "" {
 		req.Key = []byte{0}
 	}
-	if err := d.post(ctx, "/v3/kv/range", req, &ans); err != nil {
+	era, err := d.post(ctx, "/v3/kv/range", req, &ans)
+	if err != nil {
 		return nil, err
 	}
 	out := make([]Value, 0, len(ans.KVs))
 	for _, kv := range ans.KVs {
-		out = append(out, kv.value())
+		out = append(out, kv.value(era))
 	}
 	return out, nil
 }
@@ -81,22 +84,22 @@
 	if len(data) > MaxValue {
 		return Value{}, fmt.Errorf("%w: %d bytes", ErrTooLarge, len(data))
 	}
-	ans, err := d.txn(ctx, key, revision, GatewayOp{Put: &GatewayPut{Key: []byte(key), Value: data, Lease: int64(lease)}})
+	ans, era, err := d.txn(ctx, key, revision, GatewayOp{Put: &GatewayPut{Key: []byte(key), Value: data, Lease: int64(lease)}})
 	if err != nil {
 		return Value{}, err
 	}
 	if ans.Succeeded {
-		return Value{Key: key, Data: data, Revision: ans.Header.Revision}, nil
+		return Value{Key: key, Data: data, Revision: ans.Header.Revision, Era: era}, nil
 	}
-	cur := Value{Key: key}
+	cur := Value{Key: key, Era: era}
 	if len(ans.Responses) > 0 && ans.Responses[0].Range != nil {
-		cur = firstValue(key, ans.Responses[0].Range.KVs)
+		cur = firstValue(key, ans.Responses[0].Range.KVs, era)
 	}
 	return cur, fmt.Errorf("%w: key %s is at revision %d, not %d", ErrConflict, key, cur.Revision, revision)
 }
 
 // txn runs o if key is at revision, else it reads key, in one transaction.
-func (d *gatewayDriver) txn(ctx context.Context, key string, revision int64, o GatewayOp) (GatewayTxnResponse, error) {
+func (d *gatewayDriver) txn(ctx context.Context, key string, revision int64, o GatewayOp) (GatewayTxnResponse, Era, error) {
 	var ans GatewayTxnResponse
 	req := GatewayTxn{
 		Compare: []GatewayCompare{{
@@ -105,15 +108,17 @@
 		Success: []GatewayOp{o},
 		Failure: []GatewayOp{{Range: &GatewayRange{Key: []byte(key)}}},
 	}
-	return ans, d.post(ctx, "/v3/kv/txn", req, &ans)
+	era, err := d.post(ctx, "/v3/kv/txn", req, &ans)
+	return ans, era, err
 }
 
 func (d *gatewayDriver) remove(ctx context.Context, key string, revision int64) error {
 	req := GatewayDelete{Key: []byte(key)}
 	if revision == 0 {
-		return d.post(ctx, "/v3/kv/deleterange", req, &GatewayDeleteResponse{})
+		_, err := d.post(ctx, "/v3/kv/deleterange", req, &GatewayDeleteResponse{})
+		return err
 	}
-	ans, err := d.txn(ctx, key, revision, GatewayOp{Delete: &req})
+	ans, _, err := d.txn(ctx, key, revision, GatewayOp{Delete: &req})
 	if err != nil {
 		return err
 	}
@@ -127,7 +132,7 @@
 	// A lease that lasts longer than requested is safe, because the owner measures the ttl itself.
 	seconds := int64((ttl + time.Second - 1) / time.Second)
 	var ans GatewayLease
-	if err := d.post(ctx, "/v3/lease/grant", GatewayLease{TTL: seconds}, &ans); err != nil {
+	if _, err := d.post(ctx, "/v3/lease/grant", GatewayLease{TTL: seconds}, &ans); err != nil {
 		return 0, err
 	}
 	return LeaseID(ans.ID), nil
@@ -155,77 +160,83 @@
 }
 
 func (d *gatewayDriver) revoke(ctx context.Context, id LeaseID) error {
-	return d.post(ctx, "/v3/lease/revoke", GatewayLease{ID: int64(id)}, &struct{}{})
+	_, err := d.post(ctx, "/v3/lease/revoke", GatewayLease{ID: int64(id)}, &struct{}{})
+	return err
 }
 
-func (d *gatewayDriver) watch(ctx context.Context, key string, after int64) (Value, error) {
-	from := after + 1
+func (d *gatewayDriver) watch(ctx context.Context, key string, after Position) (Value, error) {
+	from := after
 	for {
-		v, compacted, err := d.watchFrom(ctx, key, from)
-		if err != nil || compacted == 0 {
+		v, err := d.watchFrom(ctx, key, from)
+		if !errors.Is(err, ErrCompacted) {
 			return v, err
 		}
-		// The store no longer has the events up to compacted, so read the current state of the key.
+		// The store no longer has the events after the position, so read the current state of the key.
 		var ans GatewayRangeResponse
-		if err := d.post(ctx, "/v3/kv/range", GatewayRange{Key: []byte(key)}, &ans); err != nil {
+		era, err := d.post(ctx, "/v3/kv/range", GatewayRange{Key: []byte(key)}, &ans)
+		if err != nil {
 			return Value{}, err
 		}
-		v = firstValue(key, ans.KVs)
-		if v.Revision > after || (v.Revision == 0 && after > 0) {
+		v = firstValue(key, ans.KVs, era)
+		if after.IsPassedBy(v) {
 			return v, nil
 		}
-		from = ans.Header.Revision + 1
+		from = Position{Era: era, Revision: ans.Header.Revision}
 	}
 }
 
-// watchFrom waits for an event of key at revision from or later. If the store has
-// compacted these events it returns the compacted revision.
-func (d *gatewayDriver) watchFrom(ctx context.Context, key string, from int64) (v Value, compacted int64, err error) {
+// watchFrom waits for an event of key after a position. It returns ErrCompacted if the store no longer has the events
+// after it, or is in another era.
+func (d *gatewayDriver) watchFrom(ctx context.Context, key string, after Position) (Value, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	res, err := d.send(ctx, "/v3/watch", GatewayWatch{GatewayWatchCreate{Key: []byte(key), StartRevision: from}})
+	res, err := d.send(ctx, "/v3/watch", GatewayWatch{GatewayWatchCreate{Key: []byte(key), StartRevision: after.Revision + 1}})
 	if err != nil {
-		return Value{}, 0, err
+		return Value{}, err
 	}
 	defer res.Body.Close()
+	era := ParseEra(res.Header)
+	if era != after.Era {
+		return Value{}, fmt.Errorf("%w: position %s, the store is in era %d", ErrCompacted, after, era)
+	}
 	dec := json.NewDecoder(res.Body)
 	for {
 		var m GatewayWatchMessage
 		if err := dec.Decode(&m); err != nil {
-			return Value{}, 0, fmt.Errorf("watch %s: %w", key, err)
+			return Value{}, fmt.Errorf("watch %s: %w", key, err)
 		}
 		if m.Error != nil {
-			return Value{}, 0, fmt.Errorf("%w: watch %s: %s", ErrUnavailable, key, m.Error.Message)
+			return Value{}, fmt.Errorf("%w: watch %s: %s", ErrUnavailable, key, m.Error.Message)
 		}
 		if m.Result.Canceled {
 			if m.Result.CompactRevision > 0 {
-				return Value{}, m.Result.CompactRevision, nil
+				return Value{}, fmt.Errorf("%w: watch %s after %s", ErrCompacted, key, after)
 			}
-			return Value{}, 0, fmt.Errorf("%w: watch %s cancelled by the store", ErrUnavailable, key)
+			return Value{}, fmt.Errorf("%w: watch %s cancelled by the store", ErrUnavailable, key)
 		}
 		if n := len(m.Result.Events); n > 0 {
 			ev := m.Result.Events[n-1]
 			if ev.Type == GatewayEventDelete {
-				return Value{Key: key}, 0, nil
+				return Value{Key: key, Era: era}, nil
 			}
-			return ev.KV.value(), 0, nil
+			return ev.KV.value(era), nil
 		}
 	}
 }
 
-// post sends req and decodes the answer, one JSON value, into ans.
-func (d *gatewayDriver) post(ctx context.Context, path string, req, ans any) error {
+// post sends req and decodes the answer, one JSON value, into ans. It returns the era of the answer.
+func (d *gatewayDriver) post(ctx context.Context, path string, req, ans any) (Era, error) {
 	res, err := d.send(ctx, path, req)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	defer res.Body.Close()
 	if err := json.NewDecoder(res.Body).Decode(ans); err != nil {
-		return fmt.Errorf("%w: read answer of %s: %w", ErrUnknown, path, err)
+		return 0, fmt.Errorf("%w: read answer of %s: %w", ErrUnknown, path, err)
 	}
 	// The connection is reused only if the body is read to its end.
 	_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, 4096))
-	return nil
+	return ParseEra(res.Header), nil
 }
 
 func (d *gatewayDriver) send(ctx context.Context, path string, req any) (*http.Response, error) {
@@ -242,6 +253,7 @@
 	if err != nil {
 		return nil, ClassifySendError(path, err)
 	}
+	d.eras.Observe(ParseEra(res.Header))
 	if res.StatusCode == http.StatusOK {
 		return res, nil
 	}
--- a/store/http_test.go
+++ b/store/http_test.go
@@ -92,7 +92,7 @@
 			"/v3/lease/revoke", `{"ID":"5"}`, `{"header":{"revision":"9"}}`, nil, nil,
 		},
 		"watch takes the last of several events": {
-			func(ctx context.Context, d Driver) (any, error) { return d.Watch(ctx, "a", 6) },
+			func(ctx context.Context, d Driver) (any, error) { return d.Watch(ctx, "a", Position{Revision: 6}) },
 			"/v3/watch", `{"create_request":{"key":"YQ==","start_revision":"7"}}`,
 			`{"result":{"header":{"revision":"9"},"created":true}}` + "\n" +
 				`{"result":{"events":[{"type":"DELETE","kv":{"key":"YQ==","mod_revision":"7"}},` +
@@ -101,7 +101,7 @@
 			nil,
 		},
 		"watch that the store cancels": {
-			func(ctx context.Context, d Driver) (any, error) { return d.Watch(ctx, "a", 6) },
+			func(ctx context.Context, d Driver) (any, error) { return d.Watch(ctx, "a", Position{Revision: 6}) },
 			"/v3/watch", `{"create_request":{"key":"YQ==","start_revision":"7"}}`,
 			`{"result":{"created":true,"canceled":true}}`,
 			Value{},
@@ -140,6 +140,39 @@
 	}
 }
 
+// TestHTTPDriverTakesTheEraFromTheHeader guards against a driver that orders the changes of a restored store by
+// revision, and against one that needs the header, which a store may not send.
+func TestHTTPDriverTakesTheEraFromTheHeader(t *testing.T) {
+	const absent, present = `{}`, `{"kvs":[{"key":"YQ==","mod_revision":"7"}]}`
+	tests := map[string]struct {
+		header, answer string
+		want           Value
+	}{
+		"stated":           {"3", present, Value{Key: "a", Revision: 7, Era: 3}},
+		"stated, no key":   {"3", absent, Value{Key: "a", Era: 3}},
+		"not stated":       {"", present, Value{Key: "a", Revision: 7}},
+		"not a number":     {"x", present, Value{Key: "a", Revision: 7}},
+		"out of its range": {"99999999999999999999", present, Value{Key: "a", Revision: 7}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				if tt.header != "" {
+					w.Header().Set("Store-Era", tt.header)
+				}
+				fmt.Fprintln(w, tt.answer)
+			}))
+			defer srv.Close()
+			d := NewHTTP(srv.URL, srv.Client())
+			got, err := d.Get(t.Context(), "a")
+			is.NoErr(err)
+			is.Equal(got, tt.want)
+			is.Equal(d.Era(), tt.want.Era)
+		})
+	}
+}
+
 func TestHTTPDriverReportsNotRunOnlyIfCertain(t *testing.T) {
 	tests := map[string]struct {
 		status int
