accept, fanout: Write Versions that a restored store has lost again

What operators see after the store came back from a copy: the next change is accepted under the number of a lost Version, with other rows. Daemons that hold the lost one ignore it, and report it as in force until a higher Version comes. The lost changes are gone, and their ids are forgotten.

Cause: nobody wrote the accepted agreement again, although daemons hold it, and neither head nor a client knew that the store had been restored.

Head now states the era in which it was prepared. While the store is in a later one, changes are refused ("the daemons are still to confirm the accepted version", exit code 6 of the client). The root of the store's region confirms head 3 s after it found it so: it writes the chunks, the record and the head of the agreement that it holds, under the same Version and with the ids of the last changes, if that is higher, and else only the new era. Within the 3 s a daemon with a newer Version has sent a heartbeat and its state. The roots of other regions do so after 10 s if that root does not respond. It is one compare-and- swap, as for an acceptance. Of two daemons with different Versions the higher one wins in either order, until a change is accepted on top (event 230).

A change whose swap of head takes effect in a later era than the one in which its head was read writes its chunks again, since the restore may have removed them; and an Acceptor no longer takes a history record of an earlier era for written. With a store that states no era, and with heads of the last build, nothing changes.

TestRestoredStoreGetsVersionsBack failed before: "a change was accepted as Version 2, daemons hold 3", "head at Version 2 of 3 after 8s", "the id of the last change is lost", "the cap in force is 11". Without the second write of the chunks TestProposeAcrossRestore fails with "load version 2: chunk is missing", without the era of the record TestRecordLostInRestore with "no record of version 2". No test fails without the 3 s: it rests on the interval of heartbeats.

--- a/accept/acceptor.go
+++ b/accept/acceptor.go
@@ -31,6 +31,7 @@
 	chunks         map[ChunkID][]byte // cache of compressed chunks: those of lastLoaded and some of earlier Versions
 	lastLoaded     Record             // only Version, Hash and Chunks are set
 	lastHistoryKey string             // key of the last history record known to be in the store
+	lastHistoryEra store.Era          // of the store when that record was written
 	// unresolved has the IDs of changes whose last submission to this Acceptor ended with ErrUnknown.
 	unresolved map[ident.ChangeID]struct{}
 }
--- a/accept/errors.go
+++ b/accept/errors.go
@@ -22,6 +22,8 @@
 	ErrHeadChanged = errors.New("restore was prepared against another head")
 	// ErrHeadIntact means that a restore names no Version although head is not damaged.
 	ErrHeadIntact = errors.New("head is intact, state the version to restore")
+	// ErrUnconfirmed means that the store came back from a copy and no daemon has confirmed its head since.
+	ErrUnconfirmed = errors.New("store came back from a copy, the daemons are still to confirm the accepted version; prepare the change again in some seconds")
 	// ErrNotRestorable means that the chunks or the record of a Version are missing or damaged. The
 	// error is a *NotRestorableError.
 	ErrNotRestorable = errors.New("version cannot be restored")
--- a/accept/examine.go
+++ b/accept/examine.go
@@ -45,7 +45,7 @@
 			}
 			err = ErrHeadMissing
 		}
-		return a.rebuildHead(ctx, v.Revision, max(newest+1, served), newest, err)
+		return a.rebuildHead(ctx, v.Position(), max(newest+1, served), newest, err)
 	}
 }
 
@@ -79,8 +79,8 @@
 
 // rebuildHead returns a Head for a key that is missing or cannot be decoded. Its Changes, SheetVersion
 // and SheetTime are rebuilt from the history.
-func (a *Acceptor) rebuildHead(ctx context.Context, revision int64, floor, newest ident.Version, damage error) (Head, error) {
-	head := Head{Revision: revision, Floor: floor, Damage: damage, newestRecorded: newest}
+func (a *Acceptor) rebuildHead(ctx context.Context, at store.Position, floor, newest ident.Version, damage error) (Head, error) {
+	head := Head{Revision: at.Revision, ReadIn: at.Era, Floor: floor, Damage: damage, newestRecorded: newest}
 	if err := a.eachRecord(ctx, newest, 0, func(e Entry) bool {
 		if e.Damage != "" {
 			return true
--- a/accept/head.go
+++ b/accept/head.go
@@ -29,8 +29,10 @@
 	Changes      []ChangeRef   // at most maxHeadChanges, oldest first
 	SheetVersion ident.Version // the last Version that a sheet produced
 	SheetTime    time.Time     // when SheetVersion was accepted
-	Revision     int64         `json:"-"` // of the key in the store
-	ReadIn       store.Era     `json:"-"` // era of the store when it was read
+	Era          store.Era     `json:",omitempty"` // of the store when the head was prepared; zero if not stated
+	Confirmed    bool          `json:",omitempty"` // written by Confirm, and no change was accepted since
+	Revision     int64         `json:"-"`          // of the key in the store
+	ReadIn       store.Era     `json:"-"`          // era of the store when it was read
 
 	// The following fields are set by Examine only.
 	Floor          ident.Version `json:"-"` // highest Version that may have been accepted; the next one is above it
@@ -58,6 +60,16 @@
 // Position returns the position in the store at which the head was read.
 func (h Head) Position() store.Position { return store.Position{Era: h.ReadIn, Revision: h.Revision} }
 
+// IsUnconfirmed reports whether the store came back from a copy since the head was prepared, so that later Versions may
+// be lost which daemons still hold. No change is accepted until a daemon has called Confirm.
+func (h Head) IsUnconfirmed() bool { return h.Era > 0 && h.Era < h.ReadIn }
+
+// NeedsConfirm reports whether Confirm has something to do for a daemon that holds a Version. A head that was already
+// confirmed is replaced by a higher Version as long as no change was accepted on top of it.
+func (h Head) NeedsConfirm(held ident.Version) bool {
+	return h.IsUnconfirmed() && held >= h.Version || h.Confirmed && held > h.Version
+}
+
 // Accepted returns the Version that the change id produced, if it is among the latest changes.
 func (h Head) Accepted(id ident.ChangeID) (ident.Version, bool) {
 	for _, c := range h.Changes {
@@ -85,7 +97,7 @@
 
 // next returns the Head that replaces h when the Version described by rec is accepted.
 func (h Head) next(rec Record) Head {
-	n := Head{Record: rec, SheetVersion: h.SheetVersion, SheetTime: h.SheetTime}
+	n := Head{Record: rec, SheetVersion: h.SheetVersion, SheetTime: h.SheetTime, Era: h.ReadIn}
 	n.Changes = append(n.Changes, h.Changes...)
 	n.Changes = append(n.Changes, ChangeRef{ID: rec.Change, Version: rec.Version})
 	if extra := len(n.Changes) - maxHeadChanges; extra > 0 {
--- a/accept/propose.go
+++ b/accept/propose.go
@@ -92,9 +92,9 @@
 			}
 			continue
 		}
-		v, ok, err := a.findChange(ctx, head, p.ID, pending)
+		version, ok, err := a.findChange(ctx, head, p.ID, pending)
 		if ok {
-			return a.acceptedResult(ctx, head, v, pending), nil
+			return a.acceptedResult(ctx, head, version, pending), nil
 		}
 		if err != nil {
 			if waitErr := wait(ctx); waitErr != nil {
@@ -103,7 +103,7 @@
 			continue
 		}
 		next := pending
-		if pending == nil || head.Revision != pending.revision {
+		if pending == nil || head.Position() != pending.position {
 			// A swap of an earlier revision can no longer take effect.
 			pending = nil
 			if !p.hasBase() && p.Kind == KindCorrection {
@@ -119,9 +119,12 @@
 		if pending == nil && time.Now().Round(0).After(deadline) {
 			return Result{}, fmt.Errorf("%w: too much time has passed since the chunks were checked", ErrTimeout)
 		}
-		_, err = a.Store.Swap(ctx, HeadKey, next.revision, next.data, 0)
+		v, err := a.Store.Swap(ctx, HeadKey, next.position.Revision, next.data, 0)
 		switch {
 		case err == nil:
+			if v.Era != next.position.Era {
+				a.rewriteChunks(ctx, next)
+			}
 			a.recordAcceptance(ctx, next)
 			return next.result, nil
 		case errors.Is(err, store.ErrConflict):
@@ -159,6 +162,9 @@
 	}
 	a.Stats.Inc("Accept.Resolved")
 	a.Log.Emit(event.ChangeResolved, "Change", string(pending.record.Change), "Version", v)
+	if head.ReadIn != pending.position.Era {
+		a.rewriteChunks(ctx, pending)
+	}
 	if head.Version == v {
 		a.recordAcceptance(ctx, pending)
 	}
@@ -175,12 +181,28 @@
 	}
 }
 
-// headFor returns the head that p is to replace. Only a restore may replace a damaged one.
-func (a *Acceptor) headFor(ctx context.Context, p Proposal) (Head, error) {
+// rewriteChunks writes the chunks of an accepted change again. The store came back from a copy between the read of the
+// head and the swap, which succeeds if the copy has the same head, but the chunks may be lost.
+func (a *Acceptor) rewriteChunks(ctx context.Context, accepted *prepared) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), 5*time.Second)
+	defer cancel()
+	if err := a.writeChunks(ctx, Head{}, accepted.chunks); err != nil {
+		a.Log.Emit(event.AgreementCorrupt, "Version", accepted.record.Version, "Error", err)
+	}
+}
+
+// headFor returns the head that p is to replace. Only a restore may replace a damaged one, and nothing an unconfirmed
+// one that is intact, since daemons may hold later Versions.
+func (a *Acceptor) headFor(ctx context.Context, p Proposal) (head Head, err error) {
 	if p.Kind == KindRestore {
-		return a.Examine(ctx, p.Served)
+		head, err = a.Examine(ctx, p.Served)
+	} else {
+		head, err = a.Current(ctx)
+	}
+	if err == nil && head.Damage == nil && head.IsUnconfirmed() {
+		return Head{}, fmt.Errorf("%w: head is version %d of era %d, the store is in era %d", ErrUnconfirmed, head.Version, head.Era, head.ReadIn)
 	}
-	return a.Current(ctx)
+	return head, err
 }
 
 // prepare rebases p on head and writes the chunks to which the new head refers and the history record
@@ -220,7 +242,7 @@
 		return nil, fmt.Errorf("write history: %w", err)
 	}
 	rec := newRecord(p, baseVersion, next, reb.change, chunks)
-	return newPrepared(head, rec, Result{
+	return newPrepared(head, rec, chunks, Result{
 		Version: next.Version(), Rebased: baseVersion != head.Version, Change: reb.change, Kept: reb.kept,
 	})
 }
--- a/accept/refusal.go
+++ b/accept/refusal.go
@@ -19,6 +19,7 @@
 	{ErrNotRestorable, "NotRestorable", false},
 	{ErrHeadChanged, "BaseMoved", false},
 	{ErrHeadIntact, "HeadIntact", false},
+	{ErrUnconfirmed, "Unconfirmed", false},
 	{ErrConflict, "Conflict", true},
 	{agree.ErrInvalid, "Invalid", true},
 	{ErrProposal, "Malformed", true},
--- a/accept/restore.go
+++ b/accept/restore.go
@@ -74,7 +74,7 @@
 	}
 	rec := newRecord(p, p.Base, next, reb.change, chunks)
 	rec.Restored = target.Version()
-	return newPrepared(head, rec, Result{
+	return newPrepared(head, rec, chunks, Result{
 		Version: next.Version(), Restored: rec.Restored, Rebased: p.Base != head.Floor, Change: reb.change,
 		Repaired: head.describeDamage(),
 	})
--- a/accept/write.go
+++ b/accept/write.go
@@ -77,7 +77,7 @@
 func (a *Acceptor) writeRecord(ctx context.Context, rec Record) error {
 	key := historyKey(rec.Version)
 	a.mu.Lock()
-	ok := a.lastHistoryKey == key
+	ok := a.lastHistoryKey == key && a.lastHistoryEra == a.Store.Era()
 	a.mu.Unlock()
 	if ok || rec.Version == 0 {
 		return nil
@@ -86,8 +86,9 @@
 	if err != nil {
 		return fmt.Errorf("encode %s: %w", key, err)
 	}
+	var written store.Value
 	for {
-		_, err := a.Store.Swap(ctx, key, 0, data, 0)
+		written, err = a.Store.Swap(ctx, key, 0, data, 0)
 		if err == nil || errors.Is(err, store.ErrConflict) {
 			break // after ErrConflict, another Acceptor or an earlier attempt has written it
 		}
@@ -97,6 +98,6 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.lastHistoryKey = key
+	a.lastHistoryKey, a.lastHistoryEra = key, written.Era
 	return nil
 }
--- a/client/exit.go
+++ b/client/exit.go
@@ -51,7 +51,7 @@
 	case errors.Is(err, accept.ErrConflict), errors.Is(err, accept.ErrBaseRequired),
 		errors.Is(err, accept.ErrHeadChanged):
 		return exitConflict
-	case errors.Is(err, store.ErrUnavailable), errors.Is(err, context.DeadlineExceeded):
+	case errors.Is(err, store.ErrUnavailable), errors.Is(err, accept.ErrUnconfirmed), errors.Is(err, context.DeadlineExceeded):
 		return exitUnavailable
 	case errors.Is(err, errLagging):
 		return exitLagging
--- a/daemon/storeadapter.go
+++ b/daemon/storeadapter.go
@@ -34,8 +34,9 @@
 	accept        *accept.Acceptor
 	heldAgreement func() *agree.Agreement // returns the newest agreement that the daemon holds
 
-	mu   sync.Mutex
-	head accept.Head // latest head read so far; its Version is lower than before if the store lost Versions
+	mu     sync.Mutex
+	head   accept.Head // latest head read so far; its Version is lower than before if the store lost Versions
+	newest accept.Head // read so far, of the highest Version
 }
 
 func (s *storeAdapter) fanout() fanout.Store {
@@ -48,6 +49,8 @@
 		RenewRoot: func(ctx context.Context, l fanout.RootLease) error {
 			return s.root.Renew(ctx, store.LeaseID(l.Lease))
 		},
+		HeadUnconfirmed: func(held ident.Version) bool { return s.lastHead().NeedsConfirm(held) },
+		ConfirmHead:     s.confirmHead,
 		ReleaseRoot: func(ctx context.Context, l fanout.RootLease) error {
 			return s.root.Revoke(ctx, store.LeaseID(l.Lease))
 		},
@@ -60,6 +63,9 @@
 	if h.Position().After(s.head.Position()) {
 		s.head = h
 	}
+	if h.Version > s.newest.Version {
+		s.newest = h
+	}
 	return h
 }
 
@@ -102,6 +108,26 @@
 	return s.accept.Advance(ctx, s.rememberHead(h), s.heldAgreement())
 }
 
+// confirmHead writes head again after a restore of the store. It uses the budget of an operator, since a lost sheet has
+// about 40 chunks.
+func (s *storeAdapter) confirmHead(ctx context.Context, held *agree.Agreement) error {
+	a, err := accept.New(accept.Deps{
+		Store: s.client.As(store.RoleOperator), Config: s.accept.Config, Stats: s.accept.Stats, Log: s.accept.Log, Rand: s.accept.Rand,
+	})
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	known := s.newest
+	s.mu.Unlock()
+	h, err := a.Confirm(ctx, held, known)
+	if err != nil {
+		return err
+	}
+	s.rememberHead(h)
+	return nil
+}
+
 // watchHead waits for a head after Version after. It watches from the position last read, so that each
 // change takes one watch.
 func (s *storeAdapter) watchHead(ctx context.Context, after ident.Version) (ident.Version, agree.Hash, error) {
--- a/emul/platform.go
+++ b/emul/platform.go
@@ -32,6 +32,7 @@
 	delay          time.Duration
 	hang           bool
 	accepted       *agree.Agreement
+	unconfirmed    bool  // the store came back from a copy, and ConfirmHead has not been called since
 	fullStateBytes int64 // size of the full state that LoadAgreement returns
 	changed        chan struct{}
 	revision       int64
@@ -72,6 +73,30 @@
 	p.changed = make(chan struct{})
 }
 
+// Restore makes a, which was accepted before, the accepted agreement again, as a store that came back from a copy.
+func (p *Platform) Restore(a *agree.Agreement) {
+	p.Accept(a)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.unconfirmed = true
+}
+
+// Unconfirmed reports whether no daemon has confirmed the accepted agreement since Restore.
+func (p *Platform) Unconfirmed() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.unconfirmed
+}
+
+func (p *Platform) confirm(held *agree.Agreement) {
+	if held.Version() > p.Accepted().Version() {
+		p.Accept(held)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.unconfirmed = false
+}
+
 // Accepted returns the accepted agreement.
 func (p *Platform) Accepted() *agree.Agreement {
 	p.mu.Lock()
@@ -171,6 +196,14 @@
 		WatchHead: func(ctx context.Context, after ident.Version) (ident.Version, agree.Hash, error) {
 			return p.watch(ctx, addr, from, after)
 		},
+		HeadUnconfirmed: func(held ident.Version) bool { return p.Unconfirmed() && held >= p.Accepted().Version() },
+		ConfirmHead: func(ctx context.Context, held *agree.Agreement) error {
+			if err := p.simulateCall(ctx, addr, from, true); err != nil {
+				return err
+			}
+			p.confirm(held)
+			return nil
+		},
 		ReadRoot: func(ctx context.Context, region ident.Region) (fanout.RootLease, error) {
 			if err := p.simulateCall(ctx, addr, from, false); err != nil {
 				return fanout.RootLease{}, err
--- a/event/store.go
+++ b/event/store.go
@@ -18,6 +18,7 @@
 	ChunksCollected   ID = 227
 	AgreementCorrupt  ID = 228
 	HeadRepaired      ID = 229
+	HeadConfirmed     ID = 230
 )
 
 var storeEvents = map[ID]Def{
@@ -35,4 +36,5 @@
 	ChunksCollected:   {log.InfoLevel, "unreferenced chunks removed"},
 	AgreementCorrupt:  {log.ErrorLevel, "stored agreement is corrupt"},
 	HeadRepaired:      {log.WarnLevel, "damaged head replaced by a restore"},
+	HeadConfirmed:     {log.WarnLevel, "store was restored from a copy, head confirmed"},
 }
--- a/fanout/deps.go
+++ b/fanout/deps.go
@@ -67,6 +67,9 @@
 	// transferTimeout limits the transfer of one update. A snapshot of 20,000 rows takes about
 	// 0.1 s on the shared link of 30 Mbit/s.
 	transferTimeout = 5 * time.Second
+	// headConfirmTimeout limits the writes of an agreement after a restore of the store. The 40 chunks of 20,000 rows are
+	// within the burst of the call budget.
+	headConfirmTimeout = 10 * time.Second
 	// Range of the backoff delay (full jitter) between connection attempts.
 	retryInitialDelay = 100 * time.Millisecond
 	retryMaxDelay     = time.Second
--- a/fanout/root.go
+++ b/fanout/root.go
@@ -259,6 +259,7 @@
 	} else {
 		go r.pollHeadWhileSilent(rctx)
 	}
+	go r.confirmHeads(rctx)
 	r.node.subscriber.requestRecheck()
 }
 
--- a/fanout/store.go
+++ b/fanout/store.go
@@ -23,6 +23,11 @@
 	LoadAgreement func(ctx context.Context) (*agree.Agreement, error)
 	// WatchHead blocks until the accepted Version is greater than after.
 	WatchHead func(ctx context.Context, after ident.Version) (ident.Version, agree.Hash, error)
+	// HeadUnconfirmed reports whether the store came back from a copy and head, as read last, is to be confirmed by a
+	// root that holds a Version. Nil: never.
+	HeadUnconfirmed func(held ident.Version) bool
+	// ConfirmHead writes head again, as the held agreement if that has a higher Version.
+	ConfirmHead func(ctx context.Context, held *agree.Agreement) error
 	// ReadRoot returns the lease of the region's root.
 	ReadRoot func(ctx context.Context, region ident.Region) (RootLease, error)
 	// AcquireRoot writes addr under a new lease if the key still has the revision of prev.
