quota: Keep caps across a restore of the store

What users see after the store came back from a copy: more calls of a member run than its cap, up to 60 with a cap of 40, for good.

Cause: a keeper renewed its lease by an id that the store had given out again, even to the next keeper of the same service, so two keepers dealt the floating units. The next one got the epoch of the lost term, so that holders took grants of both. And a keeper that cannot reach the store goes on for up to 15 s, while the next one, elected at once since the key is gone, took its holders for silent after 9 s and dealt their units.

A term now ends when the daemon learns of a later era. The lease is revoked only if the key still names this keeper at the revision of its election. The record states the era of its epoch; the first keeper of a later era leaves out 10,000 epochs and list versions for each era, and withholds floating units for 24 s (15 s of the lease and 9 s of silence, with tolerance), those for pins for the longest timeout + 16 s. Records of the last build and stores without an era count as before.

--- a/daemon/storeadapter.go
+++ b/daemon/storeadapter.go
@@ -189,7 +189,7 @@
 
 func (s *storeAdapter) quota() quota.Driver {
 	k := s.keeper
-	return QuotaDriver(store.Driver{Get: k.Get, Swap: k.Swap, Grant: k.Grant, Renew: k.Renew, Revoke: k.Revoke})
+	return QuotaDriver(store.Driver{Get: k.Get, Swap: k.Swap, Grant: k.Grant, Renew: k.Renew, Revoke: k.Revoke, Era: k.Era})
 }
 
 // QuotaDriver adapts a store driver to the calls that keepers need.
@@ -209,5 +209,11 @@
 		},
 		Renew:  func(ctx context.Context, id quota.LeaseID) error { return k.Renew(ctx, store.LeaseID(id)) },
 		Revoke: func(ctx context.Context, id quota.LeaseID) error { return k.Revoke(ctx, store.LeaseID(id)) },
+		Era: func() uint64 {
+			if k.Era == nil {
+				return 0
+			}
+			return uint64(max(0, k.Era()))
+		},
 	}
 }
--- a/quota/driver.go
+++ b/quota/driver.go
@@ -26,6 +26,9 @@
 	Grant  func(ctx context.Context, ttl time.Duration) (LeaseID, error)
 	Renew  func(ctx context.Context, id LeaseID) error
 	Revoke func(ctx context.Context, id LeaseID) error
+	// Era returns how often the store came back from a copy, as it stated in its answers so far; zero if it states
+	// nothing. What was written since the copy is lost then, and revisions and lease ids are given out again. Nil: zero.
+	Era func() uint64
 }
 
 // Call sends a request to another daemon and decodes its answer into out.
--- a/quota/elect.go
+++ b/quota/elect.go
@@ -22,6 +22,7 @@
 		return nil, err
 	}
 	t := &term{
+		era:        k.era(),           // known from the read
 		renewed:    k.d.Clock.Stamp(), // read before the store starts the lease
 		peers:      map[ident.Addr]*peer{},
 		pools:      map[ident.MemberID]*unitPool{},
@@ -50,9 +51,11 @@
 
 // takeover writes the leased keeper key and increments the epoch of the record.
 func (k *Keeper) takeover(ctx context.Context, t *term) error {
-	if _, err := k.swap(ctx, t, KeeperKey(k.d.Service), 0, []byte(k.d.Addr), t.lease); err != nil {
+	revision, err := k.swap(ctx, t, KeeperKey(k.d.Service), 0, []byte(k.d.Addr), t.lease)
+	if err != nil {
 		return err
 	}
+	t.keyRevision = revision
 	v, err := k.get(ctx, RecordKey(k.d.Service))
 	if err != nil {
 		return err
@@ -61,7 +64,14 @@
 	if err != nil {
 		return err
 	}
+	afterRestore := rec.isBefore(t.era)
+	if afterRestore {
+		lost := (t.era - rec.Era) * maxLostVersions
+		rec.Epoch += lost
+		rec.ListVersion += lost
+	}
 	rec.Epoch++
+	rec.Era = t.era
 	rec.Keeper = k.d.Addr
 	rec.Longest = max(rec.Longest, k.d.LongTimeout())
 	// The times were written by the clock of another keeper, so retention starts again.
@@ -80,6 +90,12 @@
 	}
 	t.epoch = rec.Epoch
 	t.started = k.d.Clock.Mono()
+	if afterRestore {
+		// The keeper before does not know of the restore until it has called the store, and its lease was renewed
+		// before. Pins that it has confirmed last as long as their calls.
+		t.floatingFreeAt = t.started + withClockTolerance(KeeperLeaseTTL+silentTimeout)
+		t.pinnableFreeAt = t.started + withClockTolerance(KeeperLeaseTTL+maxCallTime(rec.Longest)+StopGrace)
+	}
 	for _, addr := range slices.Concat(rec.Holders, rec.Joining) {
 		p := t.addPeer(addr, t.started)
 		p.floatingFreeAt = t.started + withClockTolerance(silentTimeout)
--- a/quota/fakestore_test.go
+++ b/quota/fakestore_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sync"
 	"time"
 )
@@ -17,10 +18,11 @@
 	leases        map[string]LeaseID
 	expiry        map[LeaseID]time.Time
 	calls         int
+	era           uint64 // rises with each restore
 }
 
 func newFakeStore() *fakeStore {
-	return &fakeStore{values: map[string]Value{}, leases: map[string]LeaseID{}, expiry: map[LeaseID]time.Time{}}
+	return &fakeStore{values: map[string]Value{}, leases: map[string]LeaseID{}, expiry: map[LeaseID]time.Time{}, era: 1}
 }
 
 // beginCall locks the store, unless it is unreachable, and deletes expired keys.
@@ -30,11 +32,12 @@
 	n.waitWhilePaused()
 	s.mu.Lock()
 	s.calls++
-	if s.down || n.partitioned.Load() {
+	if s.down || n.partitioned.Load() || n.island.Load() {
 		s.mu.Unlock()
 		time.Sleep(100 * time.Millisecond)
 		return errDown
 	}
+	n.era.Store(s.era)
 	for key, id := range s.leases {
 		if !time.Now().Before(s.expiry[id]) {
 			delete(s.values, key)
@@ -56,6 +59,7 @@
 // driver returns the Driver of a daemon. A partitioned daemon does not reach the store.
 func (s *fakeStore) driver(n *node) Driver {
 	return Driver{
+		Era: n.era.Load,
 		Get: func(_ context.Context, key string) (Value, error) {
 			if err := s.beginCall(n); err != nil {
 				return Value{}, err
@@ -110,6 +114,32 @@
 	}
 }
 
+// storeCopy is the state of a fakeStore at one time.
+type storeCopy struct {
+	at       time.Time
+	revision int64
+	values   map[string]Value
+	leases   map[string]LeaseID
+	expiry   map[LeaseID]time.Time
+}
+
+func (s *fakeStore) copy() storeCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return storeCopy{time.Now(), s.revision, maps.Clone(s.values), maps.Clone(s.leases), maps.Clone(s.expiry)}
+}
+
+// restore brings back the state of c. Revisions and lease ids are given out again. Leases did not run since the copy.
+func (s *fakeStore) restore(c storeCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.revision, s.values, s.leases, s.expiry = c.revision, maps.Clone(c.values), maps.Clone(c.leases), maps.Clone(c.expiry)
+	for id, end := range s.expiry {
+		s.expiry[id] = end.Add(time.Since(c.at))
+	}
+}
+
 func (s *fakeStore) setDown(down bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/quota/keeper.go
+++ b/quota/keeper.go
@@ -89,7 +89,15 @@
 // termValid reports whether the lease of t is valid on the keeper's clock, which may be slower
 // than that of the store by up to 1%. The caller holds k.mu, or t is not shared yet.
 func (k *Keeper) termValid(t *term) bool {
-	return t != nil && !t.ended && k.d.Clock.Since(t.renewed) < KeeperLeaseTTL*99/100
+	return t != nil && !t.ended && t.era == k.era() && k.d.Clock.Since(t.renewed) < KeeperLeaseTTL*99/100
+}
+
+// era returns the era of the store in its answers so far.
+func (k *Keeper) era() uint64 {
+	if k.d.Driver.Era == nil {
+		return 0
+	}
+	return k.d.Driver.Era()
 }
 
 // serveTerm runs the tasks of the keeper until its lease or ctx ends.
@@ -118,7 +126,15 @@
 	// it.
 	rctx, done := context.WithTimeout(context.WithoutCancel(ctx), storeTimeout)
 	defer done()
-	if err := k.d.Driver.Revoke(rctx, t.lease); err != nil {
+	// A store that came back from a copy may have given out the id of the lease again.
+	v, err := k.d.Driver.Get(rctx, KeeperKey(k.d.Service))
+	if err == nil && (v.Revision != t.keyRevision || string(v.Data) != string(k.d.Addr)) {
+		return
+	}
+	if err == nil {
+		err = k.d.Driver.Revoke(rctx, t.lease)
+	}
+	if err != nil {
 		k.d.Stats.Inc("Quota.RevokeFailed")
 	}
 }
--- a/quota/limits.go
+++ b/quota/limits.go
@@ -49,6 +49,9 @@
 	// had moved on to the next holder were returned before the next call, and only 36 of 40
 	// units could be used.
 	maxIdleChecks = 4
+	// maxLostVersions is the number of epochs, and of versions of a list, that are left out after a restore of the store,
+	// since it may have lost that many. With one election per second it covers almost three hours.
+	maxLostVersions = 10_000
 	// RecordRetention is how long idempotency records are kept, and therefore how long the loss of a
 	// key home matters.
 	RecordRetention = 10 * time.Minute
--- a/quota/record.go
+++ b/quota/record.go
@@ -12,6 +12,7 @@
 // Record is the state of a service's keeper, stored under the key quota/SERVICE.
 type Record struct {
 	Epoch       uint64
+	Era         uint64 `json:",omitempty"` // of the store when the epoch began; zero if not stated
 	Keeper      ident.Addr
 	ListVersion uint64
 	Holders     []ident.Addr
@@ -34,6 +35,15 @@
 // KeeperKey returns the store key, bound to a lease, that names the keeper of service.
 func KeeperKey(service ident.ServiceID) string { return "keeper/" + string(service) }
 
+// isBefore reports whether the store came back from a copy since the record was written, so that later terms and lists
+// may be lost. A service without a record may have had one, unless the store is in its first era.
+func (r Record) isBefore(era uint64) bool {
+	if r.Epoch == 0 {
+		return era > 1
+	}
+	return r.Era > 0 && r.Era < era
+}
+
 func (r Record) encode() ([]byte, error) {
 	b, err := json.Marshal(r)
 	if err != nil {
--- a/quota/sim_test.go
+++ b/quota/sim_test.go
@@ -54,7 +54,9 @@
 	addr        ident.Addr
 	region      int
 	partitioned atomic.Bool                   // partitioned from the others and from the store
+	island      atomic.Bool                   // reaches only other islanders, and not the store; callers reach it
 	pause       atomic.Pointer[chan struct{}] // closed when the paused daemon resumes
+	era         atomic.Uint64                 // of the last answer of the store
 	skew        atomic.Int64                  // added to the wall clock
 	process     atomic.Pointer[process]
 }
@@ -217,7 +219,8 @@
 			delay = 20 * time.Millisecond
 		}
 		time.Sleep(delay)
-		if s.dropped(t) || p.dead() || to == nil || to.process.Load().dead() || n.partitioned.Load() || to.partitioned.Load() {
+		if s.dropped(t) || p.dead() || to == nil || to.process.Load().dead() || n.partitioned.Load() || to.partitioned.Load() ||
+			n.island.Load() != to.island.Load() {
 			time.Sleep(10 * time.Millisecond)
 			return errDown
 		}
--- a/quota/term.go
+++ b/quota/term.go
@@ -14,12 +14,18 @@
 	renewed  Stamp         // when the last successful renewal was sent
 	started  time.Duration // when the epoch was incremented
 	epoch    uint64        // same as rec.Epoch
-	state    uint64        // incremented with each change of the list or its acknowledgements
-	newAcks  bool          // acknowledgements arrived since state was last incremented
-	peers    map[ident.Addr]*peer
-	pools    map[ident.MemberID]*unitPool
-	unlisted map[ident.Addr]struct{} // unlisted holders that asked for units
-	ended    bool
+	era      uint64        // of the store at the election; the term ends if it changes
+	// keyRevision is the revision of the keeper key, by which it is known before its lease is revoked.
+	keyRevision int64
+	// Until these times units are withheld because the store has lost the term of an earlier keeper, and with it
+	// holders to which that one may have granted some. Zero: they are not.
+	floatingFreeAt, pinnableFreeAt time.Duration
+	state                          uint64 // incremented with each change of the list or its acknowledgements
+	newAcks                        bool   // acknowledgements arrived since state was last incremented
+	peers                          map[ident.Addr]*peer
+	pools                          map[ident.MemberID]*unitPool
+	unlisted                       map[ident.Addr]struct{} // unlisted holders that asked for units
+	ended                          bool
 
 	peersByNumber map[uint64]*peer // by peer.number
 	lastNumber    uint64
@@ -58,6 +64,7 @@
 // withheld reports whether all floating units, or the half that may be pinned, are withheld
 // because holders that have not reported may use them.
 func (t *term) withheld(now time.Duration) (allWithheld, pinnableWithheld bool) {
+	allWithheld, pinnableWithheld = now < t.floatingFreeAt, now < t.pinnableFreeAt
 	for _, p := range t.peers {
 		allWithheld = allWithheld || now <= p.floatingFreeAt
 		pinnableWithheld = pinnableWithheld || now <= p.pinnableFreeAt
