quota: Count holders whose joining the store has lost

What users see after the store came back from a copy: more calls run than the cap while a daemon that joined since the copy is cut off from the keeper. It uses its base share for up to 4 h, and the others share the whole base again.

Cause: the next keeper read the holder list from the copy and dealt by it. It now takes the list in effect at its own daemon if that is newer.

A keeper whose process is newer than the copy and has no list yet still takes the one in the store.

--- a/bench/holders_test.go
+++ b/bench/holders_test.go
@@ -60,6 +60,7 @@
 		Service: capService, Addr: h.servers[i].Control, Clock: quota.SystemClock(), Driver: driver, Call: call, Cap: limit,
 		LongTimeout: func() time.Duration { return 30 * time.Second },
 		Candidate:   func() bool { return h.quotaHolders[i].WithoutKeeper() },
+		List:        func() quota.List { return h.quotaHolders[i].List() },
 		Rank:        func() int { return i },
 		Rand:        h.float, Log: event.Discard(), Stats: stats.New(),
 	}))
--- a/daemon/service.go
+++ b/daemon/service.go
@@ -35,6 +35,7 @@
 		Cap:         capOf,
 		LongTimeout: func() time.Duration { return d.holder.Agreement().LongTimeout(id) },
 		Candidate:   func() bool { return s.holder.WithoutKeeper() },
+		List:        func() quota.List { return s.holder.List() },
 		Rank:        func() int { return d.rankInService(id) },
 		Rand:        rand.Float64, Log: log, Stats: d.stats,
 	})
--- a/quota/elect.go
+++ b/quota/elect.go
@@ -66,6 +66,7 @@
 	}
 	afterRestore := rec.isBefore(t.era)
 	if afterRestore {
+		rec.adoptList(k.d.List(), k.d.Clock.Wall())
 		lost := (t.era - rec.Era) * maxLostVersions
 		rec.Epoch += lost
 		rec.ListVersion += lost
--- a/quota/keeperdeps.go
+++ b/quota/keeperdeps.go
@@ -23,6 +23,8 @@
 	// Candidate reports whether this daemon should try to become keeper; see Holder.WithoutKeeper.
 	// While it returns false the keeper does not call the store.
 	Candidate func() bool
+	// List returns the holder list in effect at this daemon; see Holder.List.
+	List func() List
 	// Rank returns the position of this daemon among the live daemons of the service. Later
 	// ranks try less often to become keeper.
 	Rank func() int
--- a/quota/record.go
+++ b/quota/record.go
@@ -64,6 +64,21 @@
 	return r, nil
 }
 
+// adoptList takes the list of a holder if it is newer than that of r. Holders in it use their shares although the store
+// has lost it.
+func (r *Record) adoptList(l List, now time.Time) {
+	if l.Version <= r.ListVersion {
+		return
+	}
+	r.ListVersion, r.Holders, r.Prev = l.Version, slices.Clone(l.Holders), slices.Clone(l.Prev)
+	r.Joining = slices.DeleteFunc(r.Joining, func(a ident.Addr) bool { return slices.Contains(l.Holders, a) })
+	r.Longest = max(r.Longest, l.Longest)
+	r.Lost = nil
+	for _, lost := range l.Lost {
+		r.Lost = append(r.Lost, LostRecord{Addr: lost.Addr, Until: now.Add(lost.Left).Unix(), Among: lost.Among})
+	}
+}
+
 // clone returns a copy of r with its own slices.
 func (r Record) clone() Record {
 	r.Holders = slices.Clone(r.Holders)
--- a/quota/sim_test.go
+++ b/quota/sim_test.go
@@ -127,6 +127,7 @@
 		Service: testService, Addr: n.addr, Clock: clock, Driver: s.store.driver(n), Call: n.call(p), Cap: limit,
 		LongTimeout: func() time.Duration { return s.longTimeout },
 		Candidate:   func() bool { n.waitWhilePaused(); return p.holder.WithoutKeeper() },
+		List:        func() List { return p.holder.List() },
 		Rank:        n.rank,
 		Rand:        s.randFloat, Log: event.Discard(), Stats: stats.New(),
 	})
