daemon: Leave leases of an earlier era of the store alone

What users see after the store came back from a copy: a root that stops ends the lease of another daemon, for example of a keeper, and a second keeper is elected while the first one still counts on its lease. A root that goes on extends such a lease until it has read its own key.

Cause: lease ids are given out again, and a root renewed and released its lease by id. The lease of a root now has the era in which it was granted; once the daemon knows of a later one it counts as lost. Roots take that from the key, as before, and acquire a new one when the key has ended.

TestForeignLeaseIsKept failed before: the renewal of the foreign lease succeeded (storeadapter_test.go:84). It passes with -race. The first call after a restore can still reach a foreign lease, because the daemon learns the era from its answer.

--- a/daemon/storeadapter.go
+++ b/daemon/storeadapter.go
@@ -47,11 +47,17 @@
 		ReadRoot:      s.readRoot,
 		AcquireRoot:   s.acquireRoot,
 		RenewRoot: func(ctx context.Context, l fanout.RootLease) error {
+			if err := s.checkLease(l); err != nil {
+				return err
+			}
 			return s.root.Renew(ctx, store.LeaseID(l.Lease))
 		},
 		HeadUnconfirmed: func(held ident.Version) bool { return s.lastHead().NeedsConfirm(held) },
 		ConfirmHead:     s.confirmHead,
 		ReleaseRoot: func(ctx context.Context, l fanout.RootLease) error {
+			if err := s.checkLease(l); err != nil {
+				return err
+			}
 			return s.root.Revoke(ctx, store.LeaseID(l.Lease))
 		},
 	}
@@ -159,7 +165,16 @@
 	if err != nil {
 		return fanout.RootLease{}, errors.Join(err, s.root.Revoke(ctx, id))
 	}
-	return fanout.RootLease{Addr: addr, Revision: v.Revision, Lease: int64(id)}, nil
+	return fanout.RootLease{Addr: addr, Revision: v.Revision, Lease: int64(id), Era: int64(v.Era)}, nil
+}
+
+// checkLease returns store.ErrLeaseLost if the store came back from a copy since the lease was granted, since its id may
+// then be that of another daemon.
+func (s *storeAdapter) checkLease(l fanout.RootLease) error {
+	if era := s.root.Era(); int64(era) != l.Era {
+		return fmt.Errorf("%w: lease %d is of era %d, the store is in era %d", store.ErrLeaseLost, l.Lease, l.Era, era)
+	}
+	return nil
 }
 
 func (s *storeAdapter) readContacts(ctx context.Context) (map[ident.DataCentre]peers.Contact, error) {
--- a/daemon/storeadapter_test.go
+++ b/daemon/storeadapter_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/marjoramcroft/marjoramcroft/accept"
 	"github.com/marjoramcroft/marjoramcroft/emul"
 	"github.com/marjoramcroft/marjoramcroft/event"
+	"github.com/marjoramcroft/marjoramcroft/fanout"
 	"github.com/marjoramcroft/marjoramcroft/ident"
 	"github.com/marjoramcroft/marjoramcroft/stats"
 	"github.com/marjoramcroft/marjoramcroft/store"
@@ -60,3 +62,29 @@
 		is.Equal(v, ident.Version(3))
 	})
 }
+
+// TestForeignLeaseIsKept guards against a root that renews or revokes the lease of another daemon, whose id the store
+// gave out again after it came back from a copy. A revoked lease of a keeper would let a second one be elected.
+func TestForeignLeaseIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := emul.NewStore(emul.DefaultStoreConfig())
+		a, driver := newTestAdapter(s), s.Driver()
+		c := s.Copy()
+		lease, err := a.acquireRoot(t.Context(), "riga", "10.0.0.1:7001", fanout.RootLease{})
+		is.NoErr(err)
+		s.Restore(c)
+		id, err := driver.Grant(t.Context(), rootLeaseTTL)
+		is.NoErr(err)
+		is.Equal(int64(id), lease.Lease)
+		_, err = driver.Swap(t.Context(), "keeper/s", 0, nil, id)
+		is.NoErr(err)
+		_, err = a.readRoot(t.Context(), "riga")
+		is.NoErr(err)
+		is.True(errors.Is(a.fanout().RenewRoot(t.Context(), lease), store.ErrLeaseLost))
+		is.True(errors.Is(a.fanout().ReleaseRoot(t.Context(), lease), store.ErrLeaseLost))
+		is.True(s.Peek("keeper/s").Revision > 0)
+		time.Sleep(rootLeaseTTL + time.Second)
+		is.Equal(s.Peek("keeper/s").Revision, int64(0)) // its own daemon did not renew it
+	})
+}
--- a/fanout/store.go
+++ b/fanout/store.go
@@ -13,6 +13,7 @@
 	Addr     ident.Addr
 	Revision int64
 	Lease    int64 // ID of the store's lease; known only to its owner
+	Era      int64 // of the store when the lease was granted; known only to its owner
 }
 
 // Store is the set of store calls that a Node needs. Each call is limited by its context.
