peers: Check that contacts lost by the store are written again

After the store came back from a copy, the contacts in it may be missing or name forwarders that are gone. The first forwarder of each data centre reads them every minute and writes its own if they differ, by the revision that it has just read, so that no change is needed. No running daemon needs them while it knows a forwarder.

--- a/emul/platform.go
+++ b/emul/platform.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -336,6 +338,30 @@
 	}
 }
 
+// Contacts returns the stored addresses of the contacts of each data centre.
+func (p *Platform) Contacts() map[ident.DataCentre][]ident.Addr {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := map[ident.DataCentre][]ident.Addr{}
+	for dc, c := range p.contacts {
+		out[dc] = slices.Clone(c.Addrs)
+	}
+	return out
+}
+
+// CopyContacts returns a function that brings back the present contacts and revision, as a store that came back from a
+// copy.
+func (p *Platform) CopyContacts() (restore func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	contacts, revision := maps.Clone(p.contacts), p.revision
+	return func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.contacts, p.revision = maps.Clone(contacts), revision
+	}
+}
+
 func (p *Platform) fullBytes() int64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
