quota: Ask the holders for the list that the store has lost

What users see after the store came back from a copy: more calls run than the cap if a daemon that joined since the copy is cut off and the next keeper is a new process. It has no list in effect and dealt by the one in the copy.

--- a/quota/elect.go
+++ b/quota/elect.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/marjoramcroft/marjoramcroft/delay"
@@ -66,7 +67,7 @@
 	}
 	afterRestore := rec.isBefore(t.era)
 	if afterRestore {
-		rec.adoptList(k.d.List(), k.d.Clock.Wall())
+		rec.adoptList(k.newestList(ctx, rec), k.d.Clock.Wall())
 		lost := (t.era - rec.Era) * maxLostVersions
 		rec.Epoch += lost
 		rec.ListVersion += lost
@@ -105,6 +106,32 @@
 	return nil
 }
 
+// newestList returns the newest list in effect at this daemon and at the holders in rec that answer in time. This daemon
+// has none if its process is new.
+func (k *Keeper) newestList(ctx context.Context, rec Record) List {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	newest := k.d.List()
+	for _, addr := range slices.Concat(rec.Holders, rec.Joining) {
+		wg.Go(func() {
+			var l List
+			if err := k.d.Call(ctx, addr, TypeList, ListRequest{Service: k.d.Service}, &l); err != nil {
+				k.d.Stats.Inc("Quota.ListFailed")
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			if l.Version > newest.Version {
+				newest = l
+			}
+		})
+	}
+	wg.Wait()
+	return newest
+}
+
 // writeRecord replaces the record in the store and in t.
 func (k *Keeper) writeRecord(ctx context.Context, t *term, rec Record) error {
 	data, err := rec.encode()
