--- a/client/client_test.go
+++ b/client/client_test.go
@@ -117,6 +117,16 @@
 			func(h *harness) { h.store.SetOutage(emul.Rejecting) },
 			func(h *harness) (int, string) { return h.run("export") }, exitUnavailable, "",
 		},
+		"change before a restored store is confirmed": {
+			func(h *harness) {
+				uploadValid(h)
+				h.store.Restore(h.store.Copy())
+			},
+			func(h *harness) (int, string) {
+				return h.run("set", "cap", "Member=office", "Service=bookings", "Units=7")
+			},
+			exitUnavailable, "prepare the change again in some seconds",
+		},
 		"status names a daemon that does not answer": {
 			uploadValid, func(h *harness) (int, string) { return h.run("status", "-daemons", "127.0.0.1:1") }, exitLagging, "127.0.0.1:1",
 		},
