--- a/daemon/storeadapter.go
+++ b/daemon/storeadapter.go
@@ -34,8 +34,9 @@
 	accept        *accept.Acceptor
 	heldAgreement func() *agree.Agreement // returns the newest agreement that the daemon holds
 
-	mu   sync.Mutex
-	head accept.Head // newest head read so far
+	mu     sync.Mutex
+	head   accept.Head // latest head read so far; its Version is lower than before if the store lost Versions
+	newest accept.Head // read so far, of the highest Version
 }
 
 func (s *storeAdapter) fanout() fanout.Store {
@@ -46,9 +47,17 @@
 		ReadRoot:      s.readRoot,
 		AcquireRoot:   s.acquireRoot,
 		RenewRoot: func(ctx context.Context, l fanout.RootLease) error {
+			if err := s.checkLease(l); err != nil {
+				return err
+			}
 			return s.root.Renew(ctx, store.LeaseID(l.Lease))
 		},
+		HeadUnconfirmed: func(held ident.Version) bool { return s.lastHead().NeedsConfirm(held) },
+		ConfirmHead:     s.confirmHead,
 		ReleaseRoot: func(ctx context.Context, l fanout.RootLease) error {
+			if err := s.checkLease(l); err != nil {
+				return err
+			}
 			return s.root.Revoke(ctx, store.LeaseID(l.Lease))
 		},
 	}
@@ -57,9 +66,12 @@
 func (s *storeAdapter) rememberHead(h accept.Head) accept.Head {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if h.Revision > s.head.Revision {
+	if h.Position().After(s.head.Position()) {
 		s.head = h
 	}
+	if h.Version > s.newest.Version {
+		s.newest = h
+	}
 	return h
 }
 
@@ -102,14 +114,34 @@
 	return s.accept.Advance(ctx, s.rememberHead(h), s.heldAgreement())
 }
 
-// watchHead waits for a head after Version after. It watches from the revision last read, so that each
+// confirmHead writes head again after a restore of the store. It uses the budget of an operator, since a lost sheet has
+// about 40 chunks.
+func (s *storeAdapter) confirmHead(ctx context.Context, held *agree.Agreement) error {
+	a, err := accept.New(accept.Deps{
+		Store: s.client.As(store.RoleOperator), Config: s.accept.Config, Stats: s.accept.Stats, Log: s.accept.Log, Rand: s.accept.Rand,
+	})
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	known := s.newest
+	s.mu.Unlock()
+	h, err := a.Confirm(ctx, held, known)
+	if err != nil {
+		return err
+	}
+	s.rememberHead(h)
+	return nil
+}
+
+// watchHead waits for a head after Version after. It watches from the position last read, so that each
 // change takes one watch.
 func (s *storeAdapter) watchHead(ctx context.Context, after ident.Version) (ident.Version, agree.Hash, error) {
 	h := s.lastHead()
 	if h.Version > after {
 		return h.Version, h.Hash, nil
 	}
-	v, err := s.root.Watch(ctx, accept.HeadKey, h.Revision)
+	v, err := s.root.Watch(ctx, accept.HeadKey, h.Position())
 	if err != nil {
 		return 0, 0, err
 	}
@@ -133,7 +165,16 @@
 	if err != nil {
 		return fanout.RootLease{}, errors.Join(err, s.root.Revoke(ctx, id))
 	}
-	return fanout.RootLease{Addr: addr, Revision: v.Revision, Lease: int64(id)}, nil
+	return fanout.RootLease{Addr: addr, Revision: v.Revision, Lease: int64(id), Era: int64(v.Era)}, nil
+}
+
+// checkLease returns store.ErrLeaseLost if the store came back from a copy since the lease was granted, since its id may
+// then be that of another daemon.
+func (s *storeAdapter) checkLease(l fanout.RootLease) error {
+	if era := s.root.Era(); int64(era) != l.Era {
+		return fmt.Errorf("%w: lease %d is of era %d, the store is in era %d", store.ErrLeaseLost, l.Lease, l.Era, era)
+	}
+	return nil
 }
 
 func (s *storeAdapter) readContacts(ctx context.Context) (map[ident.DataCentre]peers.Contact, error) {
@@ -163,7 +204,7 @@
 
 func (s *storeAdapter) quota() quota.Driver {
 	k := s.keeper
-	return QuotaDriver(store.Driver{Get: k.Get, Swap: k.Swap, Grant: k.Grant, Renew: k.Renew, Revoke: k.Revoke})
+	return QuotaDriver(store.Driver{Get: k.Get, Swap: k.Swap, Grant: k.Grant, Renew: k.Renew, Revoke: k.Revoke, Era: k.Era})
 }
 
 // QuotaDriver adapts a store driver to the calls that keepers need.
@@ -183,5 +224,11 @@
 		},
 		Renew:  func(ctx context.Context, id quota.LeaseID) error { return k.Renew(ctx, store.LeaseID(id)) },
 		Revoke: func(ctx context.Context, id quota.LeaseID) error { return k.Revoke(ctx, store.LeaseID(id)) },
+		Era: func() uint64 {
+			if k.Era == nil {
+				return 0
+			}
+			return uint64(max(0, k.Era()))
+		},
 	}
 }
