--- a/mesh/node.go
+++ b/mesh/node.go
@@ -69,6 +69,9 @@
 	stateMu  sync.Mutex // held while store entries are applied and passed on
 	// asOf is the position of the store up to which all entries are known; revision zero: not yet. Guarded by stateMu.
 	asOf store.Position
+	// watched is the position up to which the daemon's last watch found no change. It is after asOf if other keys have
+	// changed. Guarded by stateMu.
+	watched store.Position
 
 	stopping             atomic.Bool
 	storeReachable       atomic.Bool   // the last call to the store succeeded
@@ -161,7 +164,7 @@
 // departures stays until its lease ends, for the daemon's next process: other daemons forget it after missingTime.
 func (n *Node) Close() {
 	if !n.hasDepartures() {
-		n.revokeLease()
+		n.removeEntry()
 	}
 	n.stop()
 	n.closeLinks()
--- a/mesh/register.go
+++ b/mesh/register.go
@@ -17,7 +17,8 @@
 	writtenSeq int64          // Seq of the stored entry; -1: absent or from another incarnation
 }
 
-// updateOwnEntry records the position at which the store holds the daemon's own entry.
+// updateOwnEntry records the position at which the store holds the daemon's own entry. A write whose answer was lost may
+// run late and replace a newer entry, which is then written again.
 func (n *Node) updateOwnEntry(p Peer, at store.Position) {
 	n.rememberDeparture(p)
 	n.mu.Lock()
@@ -25,12 +26,38 @@
 		n.mu.Unlock()
 		return
 	}
-	n.entry.stored = at
+	n.setEntryPosition(at)
 	superseded := n.supersede(p)
+	outdated := p.Life == n.incarnation && p.Seq < n.entry.writtenSeq
+	if outdated {
+		n.entry.writtenSeq = -1
+	}
 	n.mu.Unlock()
-	if superseded {
+	switch {
+	case superseded:
 		n.publish()
+	case outdated:
+		n.requestEntryWrite()
+	}
+}
+
+// observeOwnPosition records that the store holds the daemon's own entry at a position, as another daemon states. If it
+// was written after the daemon's own last write, by one whose answer was lost, it is written again.
+func (n *Node) observeOwnPosition(at store.Position) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if at.Revision == 0 || !at.After(n.entry.stored) {
+		return
 	}
+	n.setEntryPosition(at)
+	n.entry.writtenSeq = -1
+	n.requestEntryWrite()
+}
+
+// setEntryPosition records the position of the daemon's own entry, which its full states state. The caller holds n.mu.
+func (n *Node) setEntryPosition(at store.Position) {
+	n.entry.stored = at
+	n.peers.setOwnStored(n.d.Self, at)
 }
 
 // supersede reports whether p, the stored own entry, is from an earlier incarnation. If so, it raises the
@@ -55,7 +82,8 @@
 		n.mu.Unlock()
 		return // written since
 	}
-	n.entry.stored, n.entry.writtenSeq = store.Position{}, -1
+	n.setEntryPosition(store.Position{})
+	n.entry.writtenSeq = -1
 	n.mu.Unlock()
 	n.requestEntryWrite()
 }
@@ -114,6 +142,7 @@
 		n.d.Log.Emit(event.LeaseEnded, "Lease", id)
 		n.mu.Lock()
 		n.entry = ownEntry{writtenSeq: -1}
+		n.setEntryPosition(store.Position{})
 		n.mu.Unlock()
 	}
 	// Other errors come from the store; the next renewal is due before the lease expires.
@@ -162,7 +191,7 @@
 	n.observeEra(n.d.Store.Era())
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if era == 0 || era == n.era { // else the lease may be from before a restore
+	if era == n.era { // else the lease may be from before a restore
 		n.entry.lease = id
 	}
 	return nil
@@ -179,10 +208,12 @@
 	defer n.mu.Unlock()
 	switch {
 	case err == nil:
-		n.entry.stored, n.entry.writtenSeq = v.Position(), self.Seq
+		n.setEntryPosition(v.Position())
+		n.entry.writtenSeq = self.Seq
 		return nil
 	case errors.Is(err, store.ErrConflict):
-		n.entry.stored, n.entry.writtenSeq = v.Position(), -1
+		n.setEntryPosition(v.Position())
+		n.entry.writtenSeq = -1
 		if found.Life != 0 {
 			n.supersede(found)
 		}
@@ -194,20 +225,21 @@
 	return err
 }
 
-// revokeTimeout limits removing the own entry at a stop. If that fails, the entry expires with its lease.
-const revokeTimeout = 150 * time.Millisecond
+// removeTimeout limits removing the own entry at a stop. If that fails, the entry expires with its lease.
+const removeTimeout = 150 * time.Millisecond
 
-// revokeLease revokes the lease, which removes the daemon's own entry.
-func (n *Node) revokeLease() {
+// removeEntry removes the daemon's own entry. The lease is left to end: after a restore of the store that the daemon has
+// not noticed, its id may be that of another daemon's lease.
+func (n *Node) removeEntry() {
 	n.mu.Lock()
-	id := n.entry.lease
+	at := n.entry.stored
 	n.mu.Unlock()
-	if id == 0 {
+	if at.Revision == 0 {
 		return
 	}
-	ctx, cancel := context.WithTimeout(n.ctx, revokeTimeout)
+	ctx, cancel := context.WithTimeout(n.ctx, removeTimeout)
 	defer cancel()
-	if err := n.d.Store.Revoke(ctx, id); err != nil {
-		n.d.Log.Emit(event.LeaveIncomplete, "Lease", id, "Error", err)
+	if err := n.d.Store.Delete(ctx, n.d.Keys.Peers+string(n.d.Self), at.Revision); err != nil {
+		n.d.Log.Emit(event.LeaveIncomplete, "Entry", at, "Error", err)
 	}
 }
--- a/mesh/restore_test.go
+++ b/mesh/restore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -234,3 +235,128 @@
 		}
 	}
 }
+
+// TestFirstEraZero guards against a restore that is taken for the first sight of the store's era, because the store
+// counts from 0: entries then come back only with the next renewal, under a lease of the time before.
+func TestFirstEraZero(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newSyncFleet(t, 4, 6)
+		f.startAllWith(func(_ *syncNode, d store.Driver) store.Driver { return countingFromZero(d) })
+		defer f.stopAll()
+		n := f.quiet()
+		f.kill(n)
+		time.Sleep(15 * time.Second)
+		c := f.store.Copy()
+		f.startWith(n, countingFromZero(f.driver(n)))
+		time.Sleep(3 * time.Second)
+		f.restore(c, nil)
+		time.Sleep(entriesBackBound)
+		f.requireEntries()
+	})
+}
+
+// TestLateWriteAfterRestore guards against an entry that stays for good in the state of the time before a restore, under
+// the lease of another daemon: a write of that time may run after the daemon has written its entry again, if the entry
+// has the expected revision again and the lease id was given out again.
+func TestLateWriteAfterRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newSyncFleet(t, 4, 6)
+		f.startAll()
+		defer f.stopAll()
+		n := f.quiet()
+		c := f.store.Copy()
+		f.kill(n)
+		f.start(n) // its lease is granted after the copy
+		f.passRevision(100)
+		time.Sleep(3 * time.Second)
+		n.publish()
+		time.Sleep(time.Second)
+		key, d := testKeys.Peers+string(n.addr), f.store.Driver()
+		old := f.store.Peek(key).Revision
+		f.store.FailWrites(key, 1, emul.Late, 6*time.Second)
+		n.publish()
+		time.Sleep(200 * time.Millisecond)
+		f.store.SetOutage(emul.Rejecting)
+		time.Sleep(time.Second)
+		f.store.Restore(c)
+		f.store.SetOutage(emul.NoOutage)
+		other, err := d.Grant(t.Context(), DefaultConfig().Lease) // of another daemon
+		is.NoErr(err)
+		swaps := 0
+		f.store.BeforeWrite(func(call, k string) { // the entry gets the revision again that it had before
+			if call == "Swap" && k == key {
+				if swaps++; swaps == 2 { // the first one expects the revision of the last era
+					f.passRevision(old - 2)
+				}
+			}
+		})
+		for range 20 {
+			time.Sleep(2 * time.Second)
+			is.NoErr(d.Renew(t.Context(), other))
+			p, _ := f.entry(n)
+			t.Logf("revision %d (before: %d), seq %d of %d, era %d of %d", f.store.Peek(key).Revision, old, p.Seq, n.self().Seq, p.Era, f.store.Era())
+		}
+		f.requireEntries()
+	})
+}
+
+// TestLeaseIDGivenOutAgainAtStop guards against a daemon that stops soon after a restore and revokes the lease of
+// another one, which removes that one's entry.
+func TestLeaseIDGivenOutAgainAtStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newSyncFleet(t, 4, 6)
+		f.startAll()
+		defer f.stopAll()
+		c := f.store.Copy()
+		n := f.quiet()
+		f.kill(n)
+		f.start(n) // its lease is granted after the copy
+		time.Sleep(3 * time.Second)
+		f.restore(c, func() {
+			id, err := f.store.Driver().Grant(t.Context(), DefaultConfig().Lease)
+			is.NoErr(err)
+			_, err = f.store.Driver().Swap(t.Context(), testKeys.Peers+"other", 0, []byte("x"), id)
+			is.NoErr(err)
+			f.stop(n)
+		})
+		is.True(f.store.Peek(testKeys.Peers+"other").Revision != 0) // the entry of another daemon was removed
+	})
+}
+
+// TestRestoreDuringBatchDelay guards against a configuration that is late because the roots were waiting for further
+// changes while the store was restored: their next watch waits in the new era, from a revision of the last one.
+func TestRestoreDuringBatchDelay(t *testing.T) {
+	for i := range 10 {
+		t.Run(fmt.Sprint(i), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newSyncFleet(t, 4, 3)
+				f.startAllWith(func(_ *syncNode, d store.Driver) store.Driver { return f.asOverHTTP(d) })
+				defer f.stopAll()
+				time.Sleep(time.Duration(i) * 400 * time.Millisecond)
+				c := f.store.Copy()
+				f.passRevision(60)
+				f.accept(2)
+				time.Sleep(100 * time.Millisecond)
+				f.store.SetOutage(emul.Rejecting)
+				time.Sleep(200 * time.Millisecond)
+				f.store.Restore(c)
+				f.store.SetOutage(emul.NoOutage)
+				f.accept(3)
+				f.passRevision(100)
+				began := time.Now()
+				for len(f.behind(3)) > 0 && time.Since(began) < 20*time.Second {
+					time.Sleep(20 * time.Millisecond)
+				}
+				if took := time.Since(began); took > inForceBound {
+					t.Errorf("in force after %s", took)
+				} else {
+					t.Logf("in force after %s", took)
+				}
+				time.Sleep(max(0, entriesBackBound-time.Since(began)))
+				f.requireEntries()
+			})
+		})
+	}
+}
--- a/mesh/syncfleet_test.go
+++ b/mesh/syncfleet_test.go
@@ -67,8 +67,11 @@
 }
 
 // start starts the process of n, to which a new backend server reports soon after.
-func (f *syncFleet) start(n *syncNode) {
-	f.startAlone(n)
+func (f *syncFleet) start(n *syncNode) { f.startWith(n, f.driver(n)) }
+
+// startWith is start with another driver of the store.
+func (f *syncFleet) startWith(n *syncNode, d store.Driver) {
+	f.startProcess(n, d)
 	node := n.Node
 	time.AfterFunc(700*time.Millisecond, func() {
 		_ = node.HandleHeartbeat(Heartbeat{ID: string(n.addr), Service: "s", Addr: "x:1", Slots: 4, State: Ready, Seq: 1, Started: time.Now().UnixMilli()})
@@ -76,7 +79,9 @@
 }
 
 // startAlone starts the process of n, to which no backend server reports.
-func (f *syncFleet) startAlone(n *syncNode) {
+func (f *syncFleet) startAlone(n *syncNode) { f.startProcess(n, f.driver(n)) }
+
+func (f *syncFleet) startProcess(n *syncNode, d store.Driver) {
 	set := stats.New()
 	cfg := DefaultConfig()
 	sc := store.DefaultConfig()
@@ -91,7 +96,7 @@
 		Dial: func(ctx context.Context, _, addr string) (net.Conn, error) {
 			return f.net.Dial(ctx, n.addr, ident.Addr(addr))
 		},
-		Store: store.New(store.Deps{Driver: f.driver(n), Config: sc, Stats: set, Log: event.Discard(), Rand: rand.Float64}),
+		Store: store.New(store.Deps{Driver: d, Config: sc, Stats: set, Log: event.Discard(), Rand: rand.Float64}),
 	})
 	node := n.Node
 	f.net.Listen(n.addr, n.place, func(c net.Conn) { go node.serveLink(link.New(c, node.handlers())) })
@@ -271,10 +276,15 @@
 
 // startAll starts all daemons within 0.3 s and waits until they have version 1.
 func (f *syncFleet) startAll() {
+	f.startAllWith(func(_ *syncNode, d store.Driver) store.Driver { return d })
+}
+
+// startAllWith is startAll with the drivers that wrap returns.
+func (f *syncFleet) startAllWith(wrap func(n *syncNode, d store.Driver) store.Driver) {
 	f.accept(1)
 	for _, n := range f.nodes {
 		time.Sleep(300 * time.Millisecond / time.Duration(len(f.nodes)))
-		f.start(n)
+		f.startWith(n, wrap(n, f.driver(n)))
 	}
 	time.Sleep(8 * time.Second)
 	f.requireInForce(1)
