--- a/event/mesh.go
+++ b/event/mesh.go
@@ -10,12 +10,14 @@
 	TargetRefused        ID = 804
 	TargetExchangeFailed ID = 805
 	CallUnencodable      ID = 806
+	CallerCut            ID = 807
 	BackendChanged       ID = 810
 	BackendReplaced      ID = 811
 	BackendUnreachable   ID = 812
 	BackendReachable     ID = 813
 	PeerChanged          ID = 814
 	NoticeUnreadable     ID = 815
+	LinkNotAccepted      ID = 816
 	ConfigInForce        ID = 820
 	ConfigInvalid        ID = 821
 	StoreLost            ID = 822
@@ -42,12 +44,14 @@
 	TargetRefused:        {log.InfoLevel, "request not answered at the target"},
 	TargetExchangeFailed: {log.WarnLevel, "exchange with the backend server failed"},
 	CallUnencodable:      {log.ErrorLevel, "message cannot be encoded"},
+	CallerCut:            {log.WarnLevel, "caller's connection ended by the daemon during a request"},
 	BackendChanged:       {log.InfoLevel, "backend server changed its state"},
 	BackendReplaced:      {log.WarnLevel, "another backend server has the address"},
 	BackendUnreachable:   {log.WarnLevel, "backend server accepts no connection"},
 	BackendReachable:     {log.InfoLevel, "backend server accepts connections again"},
 	PeerChanged:          {log.InfoLevel, "another daemon changed its state"},
 	NoticeUnreadable:     {log.WarnLevel, "notice of another daemon cannot be read"},
+	LinkNotAccepted:      {log.WarnLevel, "link cannot be accepted"},
 	ConfigInForce:        {log.InfoLevel, "configuration in force"},
 	ConfigInvalid:        {log.ErrorLevel, "configuration refused, the present one stays in force"},
 	StoreLost:            {log.WarnLevel, "store lost, the present state stays in use"},
--- a/fanout/store.go
+++ b/fanout/store.go
@@ -13,6 +13,7 @@
 	Addr     ident.Addr
 	Revision int64
 	Lease    int64 // ID of the store's lease; known only to its owner
+	Era      int64 // of the store when the lease was granted; known only to its owner
 }
 
 // Store is the set of store calls that a Node needs. Each call is limited by its context.
@@ -23,6 +24,11 @@
 	LoadAgreement func(ctx context.Context) (*agree.Agreement, error)
 	// WatchHead blocks until the accepted Version is greater than after.
 	WatchHead func(ctx context.Context, after ident.Version) (ident.Version, agree.Hash, error)
+	// HeadUnconfirmed reports whether the store came back from a copy and head, as read last, is to be confirmed by a
+	// root that holds a Version. Nil: never.
+	HeadUnconfirmed func(held ident.Version) bool
+	// ConfirmHead writes head again, as the held agreement if that has a higher Version.
+	ConfirmHead func(ctx context.Context, held *agree.Agreement) error
 	// ReadRoot returns the lease of the region's root.
 	ReadRoot func(ctx context.Context, region ident.Region) (RootLease, error)
 	// AcquireRoot writes addr under a new lease if the key still has the revision of prev.
--- a/mesh/ack_test.go
+++ b/mesh/ack_test.go
@@ -39,7 +39,7 @@
 				left := n.currentServer()
 				if tt.unknown {
 					f.kill(n)
-					f.startAlone(n)
+					f.startAlone(n, f.driver(n))
 					time.Sleep(800 * time.Millisecond)
 				}
 				_, err := other.linkTo(t.Context(), n.addr) // as for a call
@@ -58,7 +58,7 @@
 				f.kill(n) // right after the acknowledgement
 				f.store.SetOutage(emul.NoOutage)
 				f.store.SetDelay(0)
-				f.startAlone(n)
+				f.startAlone(n, f.driver(n))
 				time.Sleep(900 * time.Millisecond)
 				is.NoErr(serverReport{left.ID, left.Born, 17, Ready}.send(n.Node))
 				time.Sleep(time.Second)
--- a/mesh/leave_test.go
+++ b/mesh/leave_test.go
@@ -115,7 +115,7 @@
 				n, other := f.nodes[0], f.nodes[3]
 				f.kill(n)
 				time.Sleep(500 * time.Millisecond)
-				f.startAlone(n)
+				f.startAlone(n, f.driver(n))
 				for _, r := range tt.reports {
 					time.Sleep(400 * time.Millisecond)
 					is.NoErr(r.send(n.Node))
@@ -143,7 +143,7 @@
 				is.Equal(other.inUse(n.addr), fmt.Sprint(known.ID, "/", known.Born))
 				f.kill(n)
 				time.Sleep(500 * time.Millisecond)
-				f.startAlone(n)
+				f.startAlone(n, f.driver(n))
 				time.Sleep(400 * time.Millisecond)
 				born := int64(0)
 				if stated {
--- a/mesh/rejoin_test.go
+++ b/mesh/rejoin_test.go
@@ -80,7 +80,7 @@
 					}
 					f.kill(n)
 					time.Sleep(500 * time.Millisecond)
-					f.startAlone(n)
+					f.startAlone(n, f.driver(n))
 					_, err := other.linkTo(t.Context(), n.addr) // as for a call
 					is.NoErr(err)
 					time.Sleep(900 * time.Millisecond)
@@ -124,7 +124,7 @@
 				time.Sleep(100 * time.Millisecond)
 				f.kill(n)
 				f.store.SetOutage(emul.NoOutage)
-				f.startAlone(n)
+				f.startAlone(n, f.driver(n))
 				for _, r := range reports {
 					r.born = beat.born
 					is.NoErr(r.send(n.Node))
@@ -182,7 +182,7 @@
 				f.kill(f.nodes[1]) // all daemons are restarted in turn
 				f.start(f.nodes[1])
 				time.Sleep(tt.pause)
-				f.startAlone(n)
+				f.startAlone(n, f.driver(n))
 				time.Sleep(900 * time.Millisecond)
 				late := serverReport{left.ID, left.Born, 19, Ready}
 				if tt.serverID != "" {
@@ -214,7 +214,7 @@
 		n.AwaitDeparture(t.Context())
 		f.kill(n)
 		f.store.Restore(earlier)
-		f.startAlone(n)
+		f.startAlone(n, f.driver(n))
 		time.Sleep(900 * time.Millisecond)
 		is.NoErr(serverReport{left.ID, left.Born, 19, Ready}.send(n.Node))
 		time.Sleep(3 * time.Second)
--- a/mesh/syncfleet_test.go
+++ b/mesh/syncfleet_test.go
@@ -71,7 +71,7 @@
 
 // startWith is start with another driver of the store.
 func (f *syncFleet) startWith(n *syncNode, d store.Driver) {
-	f.startProcess(n, d)
+	f.startAlone(n, d)
 	node := n.Node
 	time.AfterFunc(700*time.Millisecond, func() {
 		_ = node.HandleHeartbeat(Heartbeat{ID: string(n.addr), Service: "s", Addr: "x:1", Slots: 4, State: Ready, Seq: 1, Started: time.Now().UnixMilli()})
@@ -79,9 +79,7 @@
 }
 
 // startAlone starts the process of n, to which no backend server reports.
-func (f *syncFleet) startAlone(n *syncNode) { f.startProcess(n, f.driver(n)) }
-
-func (f *syncFleet) startProcess(n *syncNode, d store.Driver) {
+func (f *syncFleet) startAlone(n *syncNode, d store.Driver) {
 	set := stats.New()
 	cfg := DefaultConfig()
 	sc := store.DefaultConfig()
