--- a/mesh/fullstate_test.go
+++ b/mesh/fullstate_test.go
@@ -16,6 +16,7 @@
 	}
 	for name, run := range tests {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				f := newSyncFleet(t, 4, 6)
 				f.startAll()
--- a/mesh/restore_test.go
+++ b/mesh/restore_test.go
@@ -180,6 +180,7 @@
 	}
 	for name, run := range tests {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				f := newSyncFleet(t, 4, 6)
 				f.startAll()
@@ -330,6 +331,7 @@
 func TestRestoreDuringBatchDelay(t *testing.T) {
 	for i := range 10 {
 		t.Run(fmt.Sprint(i), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				f := newSyncFleet(t, 4, 3)
 				f.startAllWith(func(_ *syncNode, d store.Driver) store.Driver { return f.asOverHTTP(d) })
--- a/mesh/restorerandom_test.go
+++ b/mesh/restorerandom_test.go
@@ -17,6 +17,7 @@
 func TestRandomRestores(t *testing.T) {
 	for seed := range uint64(12) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) { randomRestores(t, seed) })
 		})
 	}
