mesh: Show a configuration that is late while the roots read nothing

Cause: the store did not answer the two roots. Each of the stages after that has a bound below 2.5 s, their sum has not: roots confirm their state for 2.3 s after the last answer, relays wait 1.2 s, followers turn to another parent after up to 1 s more.

--- /dev/null
+++ b/mesh/silentroots_test.go
@@ -0,0 +1,72 @@
+package mesh
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/marjoramcroft/marjoramcroft/store"
+)
+
+// silentDriver returns a driver of a store that does not answer the reads of n while silent holds.
+func silentDriver(d store.Driver, n *syncNode, silent func(n *syncNode) bool) store.Driver {
+	out := d
+	wait := func(ctx context.Context) error {
+		if !silent(n) {
+			return nil
+		}
+		<-ctx.Done()
+		return fmt.Errorf("%w: %w", store.ErrUnavailable, ctx.Err())
+	}
+	out.Snapshot = func(ctx context.Context, prefix string) ([]store.Value, store.Position, error) {
+		vs, at, err := d.Snapshot(ctx, prefix)
+		if err := wait(ctx); err != nil {
+			return nil, at, err
+		}
+		return vs, at, err
+	}
+	out.Follow = func(ctx context.Context, prefix string, after store.Position, most time.Duration) ([]store.Change, store.Position, error) {
+		cs, at, err := d.Follow(ctx, prefix, after, most)
+		if err := wait(ctx); err != nil {
+			return nil, after, err
+		}
+		return cs, at, err
+	}
+	return out
+}
+
+// TestSilentRoots guards against a configuration that is late at daemons that reach the store, because the store no
+// longer answers the two daemons that read it for them.
+func TestSilentRoots(t *testing.T) {
+	for i := range 6 {
+		phase := time.Duration(i) * 300 * time.Millisecond
+		t.Run(phase.String(), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				f := newSyncFleet(t, 4, 3)
+				var silenced atomic.Pointer[map[*syncNode]bool]
+				silenced.Store(&map[*syncNode]bool{})
+				f.startAllWith(func(n *syncNode, d store.Driver) store.Driver {
+					return silentDriver(d, n, func(n *syncNode) bool { return (*silenced.Load())[n] })
+				})
+				defer f.stopAll()
+				time.Sleep(phase)
+				cut := map[*syncNode]bool{}
+				for _, n := range f.roots() {
+					cut[n] = true
+				}
+				silenced.Store(&cut)
+				f.accept(2)
+				time.Sleep(inForceBound)
+				for _, n := range f.nodes {
+					if !cut[n] && n.Version() < 2 {
+						t.Errorf("%s, tier %d: version %d", n.addr, n.syncPlan().tier, n.Version())
+					}
+				}
+			})
+		})
+	}
+}
