--- a/mesh/syncdriver_test.go
+++ b/mesh/syncdriver_test.go
@@ -9,8 +9,7 @@
 	"github.com/marjoramcroft/marjoramcroft/store"
 )
 
-// countingFromZero returns a driver of a store whose first era is 0, as the header of the store may count its
-// restores.
+// countingFromZero returns a driver of a store whose first era is 0, as one that counts its restores states it.
 func countingFromZero(d store.Driver) store.Driver {
 	out := d
 	lower := func(e store.Era) store.Era { return max(0, e-1) }
--- a/store/client.go
+++ b/store/client.go
@@ -119,9 +119,10 @@
 	return err
 }
 
-// Watch blocks until key is written after a position or, if its revision is above 0, until key is deleted or the
-// store is in another era; the returned value may then have a lower revision. It sends the watch again after each WatchPeriod, which limits how long a connection that no
-// longer delivers events can hide a change.
+// Watch blocks until key is written after a position or, if its revision is above 0, until key is
+// deleted or the store is in another era; the returned value may then have a lower revision. It
+// sends the watch again after each WatchPeriod, which limits how long a connection that no longer
+// delivers events can hide a change.
 func (c *Client) Watch(ctx context.Context, key string, after Position) (Value, error) {
 	c.Stats.Gauge("Store.Watching", c.watching.Add(1))
 	defer func() { c.Stats.Gauge("Store.Watching", c.watching.Add(-1)) }()
--- a/store/follow.go
+++ b/store/follow.go
@@ -21,8 +21,8 @@
 }
 
 // Follow returns the changes of keys with the prefix after a position, or none if there is no change
-// within wait. ErrCompacted means that the whole state has to be read. It returns ErrUnavailable if the store does not answer within Config.WatchPeriod,
-// which must be longer than wait.
+// within wait. ErrCompacted means that the whole state has to be read. ErrUnavailable means that the
+// store did not answer within Config.WatchPeriod, which must be longer than wait.
 func (c *Client) Follow(ctx context.Context, prefix string, after Position, wait time.Duration) ([]Change, Position, error) {
 	type result struct {
 		changes []Change
