platform, mesh: Answer the callers left at the end of a stop

Callers saw their connections close without an answer when a stopping daemon reached the end of its grace time: stop had one deadline for waiting, closing connections and Shutdown, and when it was over, the process ended with all calls that ran or waited in a queue. A request that waited for a slot was not even told that it had not run.

--- a/mesh/entry.go
+++ b/mesh/entry.go
@@ -15,13 +15,22 @@
 	p, a := n.resolve(c)
 	if a == nil {
 		cctx, cancel := context.WithDeadline(ctx, p.deadline)
+		stop := context.AfterFunc(n.calls, cancel)
 		a = p.run(cctx)
+		stop()
 		cancel()
 	}
 	n.finish(ctx, p, a)
 	return a
 }
 
+// EndCalls cancels the calls of the callers on the VM that have no answer yet, and all later ones. Each gets a refusal,
+// which says whether the call may have run; one that has not may be sent again after retryAfter.
+func (n *Node) EndCalls(retryAfter time.Duration) {
+	n.retryAfterEnd.Store(int64(retryAfter))
+	n.endCalls()
+}
+
 // resolve finds the route of a call. The answer is non-nil if the call cannot be sent to any server.
 func (n *Node) resolve(c *Call) (*pendingCall, *Answer) {
 	p := &pendingCall{n: n, c: c}
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -84,6 +84,9 @@
 	ctx                  context.Context
 	stop                 context.CancelFunc
 	wg                   sync.WaitGroup
+	calls                context.Context // done when calls of callers on the VM are to end
+	endCalls             context.CancelFunc
+	retryAfterEnd        atomic.Int64 // after calls is done, in nanoseconds
 
 	mu           sync.Mutex
 	server       *localServer // beside the daemon; nil: none is known. Replaced, never modified.
@@ -114,6 +117,7 @@
 	}
 	n.retries = retry.NewSharedBudget(d.Config.Retries, n.peers.daemons, d.Now)
 	n.ctx, n.stop = context.WithCancel(context.Background())
+	n.calls, n.endCalls = context.WithCancel(context.Background())
 	return n
 }
 
--- a/mesh/settle.go
+++ b/mesh/settle.go
@@ -115,13 +115,18 @@
 // finalAnswer returns the answer to a call for which no attempt succeeded.
 func (p *pendingCall) finalAnswer(ctx context.Context) *Answer {
 	timedOut := !p.n.d.Now().Before(p.deadline) || ctx.Err() != nil
+	stopping := p.n.calls.Err() != nil
 	switch {
 	case p.serverError != nil:
 		return p.serverError
+	case p.maybeRan && stopping:
+		return &Answer{Refusal: refuse.New(refuse.AnswerLost, refuse.RanUnknown, "the daemon stopped before the answer")}
 	case p.maybeRan && timedOut:
 		return &Answer{Refusal: refuse.New(refuse.DeadlinePassed, refuse.RanUnknown, "no answer in time")}
 	case p.maybeRan:
 		return &Answer{Refusal: refuse.New(refuse.AnswerLost, refuse.RanUnknown, "no answer of a backend server")}
+	case stopping:
+		return refused(refuse.Draining, "the daemon stopped before a backend server took the call", time.Duration(p.n.retryAfterEnd.Load()))
 	case p.refusal == nil:
 		p.refusal = refuse.NotRun(refuse.NoServer, "no backend server took the call")
 	}
