mesh, link: Keep a call whose link is silent

Callers got 502 for requests that a backend server then ran, or was running, since the daemon beside it had sent nothing for 0.9 s: link.Call gave up the calls of idempotent routes on a silent connection, and the entry had no attempt or retry left, or no other server. A call that joined a link on which others had waited already was given up after less, 0.25 s in one trace.

Silence is no outcome any more. Call reports it and goes on; the entry makes another attempt beside the silent one where the call may be repeated and the budget allows it, as before, and takes whichever answer comes first.

--- a/link/conn.go
+++ b/link/conn.go
@@ -47,9 +47,9 @@
 
 // waiter is a call waiting for its answer.
 type waiter struct {
-	answer       chan []byte // closed without a value when the call is given up
-	sent         bool        // writing has started
-	waitIfSilent bool        // keeps waiting on a silent connection
+	answer   chan []byte // closed without a value when the connection is closed
+	sent     bool        // writing has started
+	onSilent func()      // called once if the connection becomes silent; nil: not called
 }
 
 // Conn is one connection between two daemons.
@@ -253,10 +253,10 @@
 
 // Call sends a call and returns the body of its answer. When ctx is done, the call is cancelled at the other
 // daemon, whose answer is still returned if it arrives within cancelReplyTimeout. If the connection becomes
-// silent, the call fails, unless waitIfSilent is set. The error wraps ErrNotSent if nothing of the call was
-// written, and ErrLost otherwise.
-func (c *Conn) Call(ctx context.Context, body []byte, waitIfSilent bool) ([]byte, error) {
-	w := &waiter{answer: make(chan []byte, 1), waitIfSilent: waitIfSilent}
+// silent, onSilent is called if it is not nil, and the call goes on: the other daemon may only be slow. The error
+// wraps ErrNotSent if nothing of the call was written, and ErrLost otherwise.
+func (c *Conn) Call(ctx context.Context, body []byte, onSilent func()) ([]byte, error) {
+	w := &waiter{answer: make(chan []byte, 1), onSilent: onSilent}
 	c.mu.Lock()
 	if c.closed {
 		c.mu.Unlock()
--- a/link/conn_test.go
+++ b/link/conn_test.go
@@ -48,13 +48,13 @@
 	}})
 	first := make(chan string, 1)
 	go func() {
-		b, err := c.Call(t.Context(), []byte("slow"), false)
+		b, err := c.Call(t.Context(), []byte("slow"), nil)
 		if err != nil {
 			b = []byte(err.Error())
 		}
 		first <- string(b)
 	}()
-	b, err := c.Call(t.Context(), []byte("fast"), false)
+	b, err := c.Call(t.Context(), []byte("fast"), nil)
 	is.NoErr(err)
 	is.Equal(string(b), "answer to fast")
 	close(slow)
@@ -71,7 +71,7 @@
 	}})
 	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Millisecond)
 	defer cancel()
-	b, err := c.Call(ctx, []byte("x"), false)
+	b, err := c.Call(ctx, []byte("x"), nil)
 	is.NoErr(err)
 	is.Equal(string(b), "did not run")
 }
@@ -95,7 +95,7 @@
 				return nil
 			}})
 			go func() { <-got; tt.end(c, o) }()
-			_, err := c.Call(t.Context(), []byte("x"), true)
+			_, err := c.Call(t.Context(), []byte("x"), nil)
 			is.True(errors.Is(err, tt.want))
 		})
 	}
@@ -103,7 +103,7 @@
 		is := is.New(t)
 		c, _ := connPair(t, Handlers{})
 		c.Close()
-		_, err := c.Call(t.Context(), []byte("x"), true)
+		_, err := c.Call(t.Context(), []byte("x"), nil)
 		is.True(errors.Is(err, ErrNotSent))
 	})
 }
@@ -117,21 +117,28 @@
 		c := New(a, Handlers{})
 		go func() { _ = c.Serve() }()
 		defer c.Close()
-		waiting := make(chan error, 1)
+		waiting := make(chan error, 2)
 		ctx, cancel := context.WithTimeout(t.Context(), silenceTimeout+600*time.Millisecond)
 		defer cancel()
-		go func() {
-			_, err := c.Call(ctx, []byte("x"), true)
-			waiting <- err
-		}()
 		began := time.Now()
-		_, err := c.Call(t.Context(), []byte("x"), false)
-		is.True(errors.Is(err, ErrLost))
-		is.True(time.Since(began) >= silenceTimeout)
-		is.True(time.Since(began) < silenceTimeout+2*silenceCheckInterval)
+		silent := make(chan time.Duration, 2)
+		for _, f := range []func(){nil, func() { silent <- time.Since(began) }} {
+			go func() {
+				_, err := c.Call(ctx, []byte("x"), f)
+				waiting <- err
+			}()
+		}
+		after := <-silent
+		is.True(after >= silenceTimeout)
+		is.True(after < silenceTimeout+2*silenceCheckInterval)
 		is.True(c.Silent())
-		is.True(errors.Is(<-waiting, ErrLost))
-		is.True(ctx.Err() != nil) // it waited until ctx was done
+		is.Equal(ctx.Err(), nil) // both calls go on
+		is.Equal(len(waiting), 0)
+		for range 2 {
+			is.True(errors.Is(<-waiting, ErrLost))
+		}
+		is.True(ctx.Err() != nil) // they waited until ctx was done
+		is.Equal(len(silent), 0)
 	})
 	t.Run("alive", func(t *testing.T) {
 		is := is.New(t)
@@ -139,7 +146,7 @@
 			time.Sleep(silenceTimeout + 500*time.Millisecond)
 			return []byte("late but there")
 		}})
-		b, err := c.Call(t.Context(), []byte("x"), false)
+		b, err := c.Call(t.Context(), []byte("x"), func() { t.Error("silent") })
 		is.NoErr(err)
 		is.Equal(string(b), "late but there")
 		is.True(!c.Silent())
@@ -176,7 +183,7 @@
 		go func() {
 			ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
 			defer cancel()
-			_, _ = c.Call(ctx, make([]byte, 1<<20), true)
+			_, _ = c.Call(ctx, make([]byte, 1<<20), nil)
 			if ended.Add(1) == 20 {
 				close(done)
 			}
--- a/link/silence.go
+++ b/link/silence.go
@@ -86,7 +86,7 @@
 	return time.Since(last)
 }
 
-// checkSilence pings a daemon that has not answered, and gives up calls on a silent connection.
+// checkSilence pings a daemon that has not answered, and reports a silent connection to the waiting calls.
 func (c *Conn) checkSilence() {
 	c.mu.Lock()
 	if c.closed || len(c.waiting) == 0 {
@@ -96,17 +96,21 @@
 	silence := c.silence()
 	ping := silence >= pingDelay && !c.pinged
 	c.pinged = silence >= pingDelay
+	var onSilent []func()
 	if silence >= silenceTimeout {
 		c.silent = true
-		for id, w := range c.waiting {
-			if !w.waitIfSilent {
-				close(w.answer)
-				delete(c.waiting, id)
+		for _, w := range c.waiting {
+			if w.onSilent != nil {
+				onSilent = append(onSilent, w.onSilent)
+				w.onSilent = nil
 			}
 		}
 	}
 	c.silenceTimer.Reset(silenceCheckInterval)
 	c.mu.Unlock()
+	for _, f := range onSilent {
+		f()
+	}
 	if ping {
 		c.enqueue(frame{Kind: kindPing}, 0)
 	}
--- a/mesh/dark_test.go
+++ b/mesh/dark_test.go
@@ -28,7 +28,7 @@
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), 600*time.Millisecond)
 			defer cancel()
-			r, err := n.send(ctx, target, &request{ID: "r", Service: "other", Idempotent: true, TimeLeft: 600 * time.Millisecond})
+			r, err := n.send(ctx, target, &request{ID: "r", Service: "other", Idempotent: true, TimeLeft: 600 * time.Millisecond}, nil)
 			results <- result{r, err}
 		}()
 	}
--- a/mesh/links.go
+++ b/mesh/links.go
@@ -27,7 +27,7 @@
 	// quotaStop is the longest time for which a processor quota stops a daemon that works. A ping may take as long,
 	// and two round trips.
 	quotaStop = 100 * time.Millisecond
-	// silentLinkGrace is how long a silent link stays open for calls that must not be repeated.
+	// silentLinkGrace is how long a silent link stays open for calls that still wait for their answers.
 	silentLinkGrace = 10 * time.Second
 )
 
@@ -45,8 +45,8 @@
 }
 
 // send sends r to the daemon at addr. An error that wraps link.ErrNotSent means that the request did not run
-// there.
-func (n *Node) send(ctx context.Context, addr ident.Addr, r *request) (*reply, error) {
+// there. onSilent is called if the link becomes silent; nil: nothing is.
+func (n *Node) send(ctx context.Context, addr ident.Addr, r *request, onSilent func()) (*reply, error) {
 	if addr == n.d.Self {
 		return n.run(ctx, r), nil
 	}
@@ -62,7 +62,7 @@
 		n.d.Stats.Inc("Link.Unconfirmed")
 		return nil, fmt.Errorf("%w: %w", link.ErrNotSent, errUnconfirmed)
 	}
-	b, err := c.Call(ctx, body, !r.Idempotent)
+	b, err := c.Call(ctx, body, onSilent)
 	if err != nil {
 		return nil, err
 	}
--- a/mesh/settle.go
+++ b/mesh/settle.go
@@ -11,9 +11,10 @@
 	"github.com/marjoramcroft/marjoramcroft/route"
 )
 
-// result is the result of one attempt.
+// result is the result of one attempt, or tells that its server has become silent.
 type result struct {
 	server ident.Addr
+	silent bool // the attempt goes on
 	reply  *reply
 	err    error
 	took   time.Duration
@@ -49,9 +50,21 @@
 	return out
 }
 
+// handleSilence processes that the server of an attempt has become silent, and reports whether another attempt may be
+// made beside it. Its answer may still arrive.
+func (p *pendingCall) handleSilence(ctx context.Context, r result, running int) bool {
+	p.silent[r.server] = true
+	p.excluded[r.server] = true
+	p.n.board.Pause(r.server)
+	p.n.d.Stats.Inc("Entry.Silent")
+	p.trace = append(p.trace, attempt{server: r.server, outcome: "Silent"})
+	return running == len(p.silent) && p.mayRetry(ctx)
+}
+
 // handleResult processes the result of an attempt. It returns the answer to the call, or whether another
 // attempt may be made.
 func (p *pendingCall) handleResult(ctx context.Context, r result) (*Answer, bool) {
+	delete(p.silent, r.server)
 	p.recordAttempt(r)
 	if r.noWait() && r.err == nil {
 		p.n.noWait.add(p.service, r.reply.Outcome != rejected)
--- a/mesh/visit.go
+++ b/mesh/visit.go
@@ -38,35 +38,41 @@
 
 // run makes attempts until one is answered or no more are allowed.
 func (p *pendingCall) run(ctx context.Context) *Answer {
-	p.excluded, p.triedNoWait = map[ident.Addr]bool{}, map[ident.Addr]bool{}
+	p.excluded, p.triedNoWait, p.silent = map[ident.Addr]bool{}, map[ident.Addr]bool{}, map[ident.Addr]bool{}
 	results := make(chan result, 4+maxBusyServers)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel() // cancels attempts that are still running
-	running := 0
+	running := 0   // attempts, silent ones too
 	if p.startNext(ctx, results) {
 		running++
 	}
 	hedge := time.NewTimer(p.hedgeDelay())
 	defer hedge.Stop()
 	for running > 0 {
+		again := false
 		select {
 		case <-hedge.C:
 			if p.mayHedge(running) && p.hedge(ctx, results) {
 				p.n.d.Stats.Retried("Hedge")
 				running++
 			}
+			continue
 		case r := <-results:
+			if r.silent {
+				again = p.handleSilence(ctx, r, running)
+				break
+			}
 			running--
-			a, again := p.handleResult(ctx, r)
-			if a != nil {
+			var a *Answer
+			if a, again = p.handleResult(ctx, r); a != nil {
 				return a
 			}
-			if again && running == 0 && p.startNext(ctx, results) {
-				running++
-			}
-			if running == 0 && p.shouldQueueLate() && p.startAttempt(ctx, results, p.maxWaitPastGoal()) {
-				running++
-			}
+		}
+		if again && running == len(p.silent) && p.startNext(ctx, results) {
+			running++
+		}
+		if running == 0 && p.shouldQueueLate() && p.startAttempt(ctx, results, p.maxWaitPastGoal()) {
+			running++
 		}
 	}
 	return p.finalAnswer(ctx)
@@ -167,8 +173,17 @@
 		Host: p.c.Host, Header: p.c.Header, Body: p.c.Body, Idempotent: p.route.Idempotent, Priority: p.route.Priority,
 		Goal: p.goal.Sub(now), TimeLeft: p.deadline.Sub(now) - answerMargin, MaxWait: maxWait, Version: p.version,
 	}
+	var onSilent func()
+	if p.route.Idempotent {
+		onSilent = func() {
+			select {
+			case results <- result{server: c.Addr, silent: true}:
+			case <-ctx.Done():
+			}
+		}
+	}
 	go func() {
-		r, err := p.n.send(ctx, c.Addr, req)
+		r, err := p.n.send(ctx, c.Addr, req, onSilent)
 		out := result{server: c.Addr, reply: r, err: err, took: p.n.d.Now().Sub(now), need: need}
 		p.n.board.End(c.Addr, out.observation(ctx))
 		results <- out
@@ -208,7 +223,7 @@
 
 // mayRetry reports whether a call that may have run is retried, and takes the retry from the budget.
 func (p *pendingCall) mayRetry(ctx context.Context) bool {
-	if !p.route.Idempotent || ctx.Err() != nil || p.sent >= p.attempts() || !p.n.retries.Take(p.service, retry.Failed) {
+	if !p.route.Idempotent || ctx.Err() != nil || p.sent+len(p.silent) >= p.attempts() || !p.n.retries.Take(p.service, retry.Failed) {
 		return false
 	}
 	p.n.d.Stats.Retried("Failed")
--- a/route/board.go
+++ b/route/board.go
@@ -247,8 +247,7 @@
 		s.rejections[r.Rejected.Priority] = rejection{slotAt: now.Add(r.RejectedWait), due: r.Rejected.Due}
 	}
 	if r.Unreachable {
-		s.pause = min(maxPause, max(minPause, 2*s.pause))
-		s.pausedUntil = now.Add(s.pause/2 + time.Duration(b.random()*float64(s.pause)))
+		b.pause(s, now)
 		return
 	}
 	rate := s.failureRate(now)
@@ -261,6 +260,19 @@
 	s.failures, s.failedAt = rate, now
 }
 
+// Pause has the server at addr skipped for a while, such as when it has become silent during an attempt.
+func (b *LoadTable) Pause(addr ident.Addr) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.pause(b.state(addr), b.now())
+}
+
+// pause skips a server for longer each time. The caller holds b.mu.
+func (b *LoadTable) pause(s *serverState, now time.Time) {
+	s.pause = min(maxPause, max(minPause, 2*s.pause))
+	s.pausedUntil = now.Add(s.pause/2 + time.Duration(b.random()*float64(s.pause)))
+}
+
 // ClearPause ends the pause of a server that has proved reachable, such as by a new announcement.
 func (b *LoadTable) ClearPause(addr ident.Addr) {
 	b.mu.Lock()
