link: Report answers that can't be sent

A caller got nothing until its deadline, and 502 then, if the daemon beside the backend server had 16 MB queued for the entry daemon, or an answer above the frame size: startCall ignored that enqueue had dropped the answer. An answer without a body was returned as one.

An answer without a body now goes before all other frames in place of the one that can't be sent. It is small, and at most one for each of the calls that are handled at once, so the limit of the queue does not apply to it. Call returns ErrLost for it.

--- a/link/conn.go
+++ b/link/conn.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,7 +34,8 @@
 )
 
 // Handlers handle calls and notices from the other daemon. Call runs in its own goroutine; its context is
-// cancelled when the caller cancels or the connection is closed. Notices are handled in order of arrival.
+// cancelled when the caller cancels or the connection is closed. An empty answer means that the outcome is not known.
+// Notices are handled in order of arrival.
 type Handlers struct {
 	Call   func(ctx context.Context, c *Conn, body []byte) []byte
 	Notice func(c *Conn, body []byte)
@@ -189,10 +191,27 @@
 		c.mu.Lock()
 		delete(c.running, f.ID)
 		c.mu.Unlock()
-		c.enqueue(frame{Kind: kindAnswer, ID: f.ID, Body: body}, 0)
+		c.answer(f.ID, body)
 	}()
 }
 
+// answer queues the answer to a call. If it exceeds the frame size or the write queue is full, an answer without a body
+// goes before all other frames, so that the call ends at once rather than at its deadline.
+func (c *Conn) answer(id uint64, body []byte) {
+	if c.enqueue(frame{Kind: kindAnswer, ID: id, Body: body}, 0) {
+		return
+	}
+	b, err := frame{Kind: kindAnswer, ID: id}.encode()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err != nil || c.closed {
+		return
+	}
+	c.queue = slices.Insert(c.queue, 0, queuedFrame{frame: b})
+	c.queuedBytes += len(b)
+	c.queueReady.Signal()
+}
+
 // Notify queues a notice, and reports false if it is lost because the connection is closed or its queue is full.
 func (c *Conn) Notify(body []byte) bool { return c.enqueue(frame{Kind: kindNotice, Body: body}, 0) }
 
@@ -254,7 +273,7 @@
 // Call sends a call and returns the body of its answer. When ctx is done, the call is cancelled at the other
 // daemon, whose answer is still returned if it arrives within cancelReplyTimeout. If the connection becomes
 // silent, the call fails, unless waitIfSilent is set. The error wraps ErrNotSent if nothing of the call was
-// written, and ErrLost otherwise.
+// written, and ErrLost otherwise, also if the answer has no body.
 func (c *Conn) Call(ctx context.Context, body []byte, waitIfSilent bool) ([]byte, error) {
 	w := &waiter{answer: make(chan []byte, 1), waitIfSilent: waitIfSilent}
 	c.mu.Lock()
@@ -277,7 +296,7 @@
 	select {
 	case b, ok := <-w.answer:
 		if ok {
-			return b, nil
+			return checkAnswer(b)
 		}
 		if !c.wasSent(w) {
 			return nil, fmt.Errorf("%w: connection ended", ErrNotSent)
@@ -294,7 +313,7 @@
 	select {
 	case b, ok := <-w.answer:
 		if ok {
-			return b, nil
+			return checkAnswer(b)
 		}
 	case <-t.C:
 	}
@@ -302,6 +321,14 @@
 	return nil, fmt.Errorf("%w: %w", ErrLost, ctx.Err())
 }
 
+// checkAnswer returns the body of an answer. An answer without one means that the other daemon could not send it.
+func checkAnswer(body []byte) ([]byte, error) {
+	if len(body) == 0 {
+		return nil, fmt.Errorf("%w: not sent by the other daemon", ErrLost)
+	}
+	return body, nil
+}
+
 func (c *Conn) wasSent(w *waiter) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/link/errors.go
+++ b/link/errors.go
@@ -6,6 +6,7 @@
 var (
 	// ErrNotSent means that no byte of the call was written.
 	ErrNotSent = errors.New("call not sent")
-	// ErrLost means that the connection failed, or the caller gave up, after the call was written.
+	// ErrLost means that after the call was written the connection failed, the caller gave up or the other daemon could
+	// not send the answer.
 	ErrLost = errors.New("answer of the daemon lost")
 )
