mesh: Write all answers before a stopping daemon closes its links

A caller got 502 (outcome unknown) for a call that had run, if the daemon beside the backend server stopped before it had written the answer to the link: Drain waited until the slots were free, and Close then dropped what was queued or being written.

A link counts a call of the other daemon as unanswered from its arrival until its answer has been written, and Drain waits until that is zero. This also covers calls that are still being decoded, which no slot shows.

--- a/link/conn.go
+++ b/link/conn.go
@@ -45,6 +45,8 @@
 type queuedFrame struct {
 	frame []byte
 	id    uint64 // of a call; zero for other frames
+	// answer means that the frame answers a call of the other daemon.
+	answer bool
 }
 
 // waiter is a call waiting for its answer.
@@ -68,6 +70,7 @@
 	nextID       uint64
 	waiting      map[uint64]*waiter
 	running      map[uint64]context.CancelFunc
+	unanswered   int // calls of the other daemon whose answer has not been written
 	closed       bool
 	pinged       bool
 	silent       bool
@@ -184,6 +187,7 @@
 		return
 	}
 	c.running[f.ID] = cancel
+	c.unanswered++
 	c.mu.Unlock()
 	go func() {
 		body := c.h.Call(ctx, c, f.Body)
@@ -195,6 +199,17 @@
 	}()
 }
 
+// Unanswered returns the number of calls from the other daemon whose answer has not been written. It is zero if the
+// connection is closed.
+func (c *Conn) Unanswered() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return 0
+	}
+	return c.unanswered
+}
+
 // answer queues the answer to a call. If it exceeds the frame size or the write queue is full, an answer without a body
 // goes before all other frames, so that the call ends at once rather than at its deadline.
 func (c *Conn) answer(id uint64, body []byte) {
@@ -207,7 +222,7 @@
 	if err != nil || c.closed {
 		return
 	}
-	c.queue = slices.Insert(c.queue, 0, queuedFrame{frame: b})
+	c.queue = slices.Insert(c.queue, 0, queuedFrame{frame: b, answer: true})
 	c.queuedBytes += len(b)
 	c.queueReady.Signal()
 }
@@ -227,7 +242,7 @@
 	if c.closed || c.queuedBytes+len(b) > maxQueuedBytes {
 		return false
 	}
-	c.queue = append(c.queue, queuedFrame{frame: b, id: id})
+	c.queue = append(c.queue, queuedFrame{frame: b, id: id, answer: f.Kind == kindAnswer})
 	c.queuedBytes += len(b)
 	c.queueReady.Signal()
 	return true
@@ -237,8 +252,10 @@
 func (c *Conn) writeLoop() {
 	defer c.Close()
 	var buf []byte
+	answers := 0 // in buf
 	for {
 		c.mu.Lock()
+		c.unanswered -= answers
 		for len(c.queue) == 0 && !c.closed {
 			c.queueReady.Wait()
 		}
@@ -246,7 +263,7 @@
 			c.mu.Unlock()
 			return
 		}
-		buf = buf[:0]
+		buf, answers = buf[:0], 0
 		n := 0
 		for _, o := range c.queue {
 			if len(buf) > 0 && len(buf)+len(o.frame) > 64<<10 {
@@ -256,6 +273,9 @@
 				w.sent = true
 			}
 			buf = append(buf, o.frame...)
+			if o.answer {
+				answers++
+			}
 			c.queuedBytes -= len(o.frame)
 			n++
 		}
--- a/mesh/cluster_test.go
+++ b/mesh/cluster_test.go
@@ -49,6 +49,8 @@
 	service  ident.ServiceID
 	seq      int64
 	clockLag time.Duration // how far the daemon's clock is behind
+	// writeDelay is how long each write to a link that another daemon has opened takes, in nanoseconds.
+	writeDelay atomic.Int64
 }
 
 func newTestCluster(t *testing.T) *testCluster {
@@ -92,7 +94,7 @@
 		Store: store.New(store.Deps{Driver: r.store.Driver(), Config: sc, Stats: set, Log: event.Discard(), Rand: rand.Float64}),
 	})
 	node, ln := n.Node, n.ln
-	go node.ServeLinks(ln)
+	go node.ServeLinks(&slowListener{Listener: ln, delay: &n.writeDelay})
 	node.Start()
 	r.t.Cleanup(n.kill)
 }
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -141,14 +141,14 @@
 func (n *Node) Ready() bool { return n.table.Load() != nil && !n.stopping.Load() }
 
 // Drain tells the other daemons that this one is stopping, so that they send it no further requests. Calls
-// from callers on the VM are still served. Drain returns when no request is running at the backend server, or
-// when ctx is done.
+// from callers on the VM are still served. Drain returns when no request is running at the backend server and each call
+// of another daemon has been answered, or when ctx is done.
 func (n *Node) Drain(ctx context.Context) {
 	n.stopping.Store(true)
 	n.publish()
 	t := time.NewTicker(drainCheckInterval)
 	defer t.Stop()
-	for n.slots.Status().Running > 0 {
+	for n.slots.Status().Running > 0 || n.unanswered() > 0 {
 		select {
 		case <-t.C:
 		case <-ctx.Done():
@@ -157,7 +157,19 @@
 	}
 }
 
-// drainCheckInterval is how often Drain checks for running requests.
+// unanswered returns the number of calls from other daemons whose answers have not been written to their links. The slots
+// show neither a call that is being decoded nor an answer that is queued.
+func (n *Node) unanswered() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	sum := 0
+	for c := range n.conns {
+		sum += c.Unanswered()
+	}
+	return sum
+}
+
+// drainCheckInterval is how often Drain checks for requests without an answer.
 const drainCheckInterval = 20 * time.Millisecond
 
 // Close removes the daemon's entry from the store, closes all links and waits for its goroutines. An entry with
--- /dev/null
+++ b/mesh/stop_test.go
@@ -0,0 +1,76 @@
+package mesh
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// slowListener accepts connections whose writes take the time of delay, in nanoseconds.
+type slowListener struct {
+	net.Listener
+	delay *atomic.Int64
+}
+
+func (l *slowListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &slowConn{TCPConn: c.(*net.TCPConn), delay: l.delay}, nil
+}
+
+type slowConn struct {
+	*net.TCPConn
+	delay *atomic.Int64
+}
+
+func (c *slowConn) Write(b []byte) (int, error) {
+	time.Sleep(time.Duration(c.delay.Load()))
+	return c.TCPConn.Write(b)
+}
+
+// stopNode stops n as platform does, with limits for Drain and for Close.
+func stopNode(n *testNode, drain, end time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), drain)
+	defer cancel()
+	n.Drain(ctx)
+	_ = n.ln.Close()
+	n.Close()
+}
+
+// callOther starts an unsafe call through a that runs at the other daemon b until the returned function is called.
+func callOther(t *testing.T, a, b *testNode) (answer chan *Answer, release func()) {
+	t.Helper()
+	a.heartbeat(Draining)
+	b.waitForServers(t, "s", 1)
+	a.waitForServers(t, "s", 1)
+	hold := make(chan struct{})
+	b.backend.set(func(w http.ResponseWriter, _ *http.Request) {
+		<-hold
+		w.WriteHeader(http.StatusOK)
+	})
+	answer = make(chan *Answer, 1)
+	go func() { answer <- a.call(t.Context(), "/s/buy/") }()
+	eventually(t, "a call runs", func() bool { return b.backend.total.Load() == 1 })
+	return answer, func() { close(hold) }
+}
+
+// TestStopWritesAnswers guards against a stopping daemon that closes its links while the answer to another daemon's call
+// is still queued, so that its caller gets 502 though the call has run.
+func TestStopWritesAnswers(t *testing.T) {
+	is := is.New(t)
+	_, a, b := twoNodes(t)
+	answer, release := callOther(t, a, b)
+	b.writeDelay.Store(int64(300 * time.Millisecond))
+	release()
+	stopNode(b, 5*time.Second, time.Second)
+	ans := <-answer
+	is.Equal(ans.Refusal, nil)
+	is.Equal(ans.Status, 200)
+}
