link, mesh: End links without a reset

A caller got 502 (outcome unknown) for an answer that had been written to the link, if the stopping daemon closed it with received bytes that were not read yet, such as notices of the other daemon: the kernel then resets the connection, and what has not arrived is lost.

Conn.Shutdown waits until all calls are answered and all frames are written, closes the sending side and reads on until the other daemon has closed the connection, which that does after it has read everything. Node.Close takes a context and ends all links so; when it is done, they are closed.

emul: connections of Network can close their sending side, as TCP ones do.

--- a/emul/pipe.go
+++ b/emul/pipe.go
@@ -165,6 +165,12 @@
 	return nil
 }
 
+// CloseWrite ends the sending direction; the peer reads io.EOF after the latency.
+func (c *pipeConn) CloseWrite() error {
+	c.out.push(segment{at: time.Now().Add(c.delay)})
+	return nil
+}
+
 // LocalAddr returns a placeholder address.
 func (c *pipeConn) LocalAddr() net.Addr { return addr("local") }
 
--- a/link/conn.go
+++ b/link/conn.go
@@ -71,7 +71,9 @@
 	waiting      map[uint64]*waiter
 	running      map[uint64]context.CancelFunc
 	unanswered   int // calls of the other daemon whose answer has not been written
+	writing      bool
 	closed       bool
+	end          shutdown
 	pinged       bool
 	silent       bool
 	confirming   chan struct{} // closed when the next frame arrives; nil: no Confirm waits
@@ -180,6 +182,11 @@
 func (c *Conn) startCall(f frame) {
 	ctx, cancel := context.WithCancel(c.ctx)
 	c.mu.Lock()
+	if c.end.halfClosed {
+		c.mu.Unlock()
+		cancel()
+		return // can't be answered
+	}
 	if c.closed || len(c.running) >= maxRunningCalls || c.h.Call == nil {
 		c.mu.Unlock()
 		cancel()
@@ -230,8 +237,8 @@
 // Notify queues a notice, and reports false if it is lost because the connection is closed or its queue is full.
 func (c *Conn) Notify(body []byte) bool { return c.enqueue(frame{Kind: kindNotice, Body: body}, 0) }
 
-// enqueue queues f for writing. It reports false if the connection is closed, its queue is full or f is too
-// large.
+// enqueue queues f for writing. It reports false if the connection is closed or closing, its queue is full or f is too
+// large. A connection that Shutdown is ending takes no calls, and nothing at all once its sending side is closed.
 func (c *Conn) enqueue(f frame, id uint64) bool {
 	b, err := f.encode()
 	if err != nil {
@@ -239,7 +246,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed || c.queuedBytes+len(b) > maxQueuedBytes {
+	if c.closed || c.end.halfClosed || c.queuedBytes+len(b) > maxQueuedBytes || (id > 0 && c.end.settled != nil) {
 		return false
 	}
 	c.queue = append(c.queue, queuedFrame{frame: b, id: id, answer: f.Kind == kindAnswer})
@@ -256,6 +263,8 @@
 	for {
 		c.mu.Lock()
 		c.unanswered -= answers
+		c.writing = false
+		c.checkSettled()
 		for len(c.queue) == 0 && !c.closed {
 			c.queueReady.Wait()
 		}
@@ -280,6 +289,7 @@
 			n++
 		}
 		c.queue = append(c.queue[:0], c.queue[n:]...)
+		c.writing = true
 		c.mu.Unlock()
 		if err := c.nc.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 			return
@@ -311,7 +321,7 @@
 	c.mu.Unlock()
 	if !c.enqueue(frame{Kind: kindCall, ID: id, Body: body}, id) {
 		c.removeWaiter(id)
-		return nil, fmt.Errorf("%w: connection closed, write queue full or frame too large", ErrNotSent)
+		return nil, fmt.Errorf("%w: connection closed or closing, write queue full or frame too large", ErrNotSent)
 	}
 	select {
 	case b, ok := <-w.answer:
--- a/mesh/cluster_test.go
+++ b/mesh/cluster_test.go
@@ -107,6 +107,15 @@
 	n.wg.Wait()
 }
 
+// closeLinks closes all links at once.
+func (n *Node) closeLinks() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for c := range n.conns {
+		c.Close()
+	}
+}
+
 func decodeSpec(b []byte) (table.Spec, error) {
 	var s table.Spec
 	return s, json.Unmarshal(b, &s)
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -172,23 +174,30 @@
 // drainCheckInterval is how often Drain checks for requests without an answer.
 const drainCheckInterval = 20 * time.Millisecond
 
-// Close removes the daemon's entry from the store, closes all links and waits for its goroutines. An entry with
-// departures stays until its lease ends, for the daemon's next process: other daemons forget it after missingTime.
-func (n *Node) Close() {
+// Close removes the daemon's entry from the store, ends all links as link.Conn.Shutdown does and waits for the daemon's
+// goroutines. Links that have not ended when ctx is done are closed. An entry with departures stays until its lease ends,
+// for the daemon's next process: other daemons forget it after missingTime.
+func (n *Node) Close(ctx context.Context) {
+	var links sync.WaitGroup
+	links.Go(func() { n.shutdownLinks(ctx) })
 	if !n.hasDepartures() {
 		n.removeEntry()
 	}
 	n.stop()
-	n.closeLinks()
+	links.Wait()
 	n.wg.Wait()
 }
 
-func (n *Node) closeLinks() {
+// shutdownLinks ends all links, and closes them when ctx is done.
+func (n *Node) shutdownLinks(ctx context.Context) {
 	n.mu.Lock()
-	defer n.mu.Unlock()
-	for c := range n.conns {
-		c.Close()
+	conns := slices.Collect(maps.Keys(n.conns))
+	n.mu.Unlock()
+	var wg sync.WaitGroup
+	for _, c := range conns {
+		wg.Go(func() { c.Shutdown(ctx) })
 	}
+	wg.Wait()
 }
 
 // markUnreachable stops sending requests to a backend server that refuses connections, until a probe
--- a/mesh/rejoin_test.go
+++ b/mesh/rejoin_test.go
@@ -177,7 +177,7 @@
 					is.NoErr(n.ServerLeft(left.ID, left.Born))
 				}
 				time.Sleep(time.Second)
-				n.Close()
+				n.Close(t.Context())
 				f.kill(n)
 				f.kill(f.nodes[1]) // all daemons are restarted in turn
 				f.start(f.nodes[1])
--- a/mesh/restore_test.go
+++ b/mesh/restore_test.go
@@ -86,7 +86,7 @@
 	defer cancel()
 	n.Drain(ctx)
 	n.up.Store(false)
-	n.Close()
+	n.Close(ctx)
 	f.net.Kill(n.addr)
 }
 
--- a/mesh/stop_test.go
+++ b/mesh/stop_test.go
@@ -41,7 +41,9 @@
 	defer cancel()
 	n.Drain(ctx)
 	_ = n.ln.Close()
-	n.Close()
+	ctx, cancel = context.WithTimeout(context.Background(), end)
+	defer cancel()
+	n.Close(ctx)
 }
 
 // callOther starts an unsafe call through a that runs at the other daemon b until the returned function is called.
