mesh: Refuse queued calls of other daemons at the end of a stop

A caller got 502 (outcome unknown) for a call that waited for a slot at the daemon beside the backend server when that daemon closed its links. It had not run, so the caller could have had 503, or the entry daemon another server.

Close refuses what waits in the slots before it ends the links, which write the refusals out, and takes no further calls.

--- a/mesh/node.go
+++ b/mesh/node.go
@@ -174,10 +174,13 @@
 // drainCheckInterval is how often Drain checks for requests without an answer.
 const drainCheckInterval = 20 * time.Millisecond
 
-// Close removes the daemon's entry from the store, ends all links as link.Conn.Shutdown does and waits for the daemon's
-// goroutines. Links that have not ended when ctx is done are closed. An entry with departures stays until its lease ends,
-// for the daemon's next process: other daemons forget it after missingTime.
+// Close refuses the requests that wait for a slot as not run, removes the daemon's entry from the store, ends all links as
+// link.Conn.Shutdown does and waits for the daemon's goroutines. Links that have not ended when ctx is done are closed. An
+// entry with departures stays until its lease ends, for the daemon's next process: other daemons forget it after
+// missingTime.
 func (n *Node) Close(ctx context.Context) {
+	n.stopping.Store(true)
+	n.slots.Close(stoppingRefusal())
 	var links sync.WaitGroup
 	links.Go(func() { n.shutdownLinks(ctx) })
 	if !n.hasDepartures() {
--- a/mesh/stop_test.go
+++ b/mesh/stop_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/marjoramcroft/marjoramcroft/refuse"
 )
 
 // slowListener accepts connections whose writes take the time of delay, in nanoseconds.
@@ -76,3 +78,32 @@
 	is.Equal(ans.Refusal, nil)
 	is.Equal(ans.Status, 200)
 }
+
+// TestStopRefusesQueuedCalls guards against calls of other daemons that wait for a slot when their links are closed: the
+// callers get 502, though the calls have not run.
+func TestStopRefusesQueuedCalls(t *testing.T) {
+	is := is.New(t)
+	_, a, b := twoNodes(t)
+	first, release := callOther(t, a, b)
+	defer release()
+	answers := make(chan *Answer, 8)
+	for range 8 { // the backend server has four slots
+		go func() { answers <- a.call(t.Context(), "/s/buy/") }()
+	}
+	eventually(t, "calls wait", func() bool { return b.slots.Status().Waiting > 0 })
+	waiting := b.slots.Status().Waiting
+	stopNode(b, 10*time.Millisecond, 100*time.Millisecond)
+	all := []*Answer{<-first}
+	for range 8 {
+		all = append(all, <-answers)
+	}
+	unknown := 0
+	for _, ans := range all {
+		is.True(ans.Refusal != nil)
+		if ans.Refusal.Ran == refuse.RanUnknown {
+			unknown++
+		}
+	}
+	t.Logf("%d waited, %d ran", waiting, b.backend.total.Load())
+	is.Equal(unknown, int(b.backend.total.Load()))
+}
--- a/mesh/target.go
+++ b/mesh/target.go
@@ -56,7 +56,7 @@
 	s := n.currentServer()
 	switch {
 	case n.stopping.Load():
-		return rejection(refuse.NotRun(refuse.Draining, "the daemon is stopping"))
+		return rejection(stoppingRefusal())
 	case s == nil || s.Service != r.Service:
 		return rejection(refuse.NotRun(refuse.NoServer, "no backend server of "+string(r.Service)+" here"))
 	}
@@ -121,6 +121,11 @@
 	return &reply{Outcome: lost, Reason: refuse.AnswerLost, Detail: err.Error()}
 }
 
+// stoppingRefusal returns the refusal used while the daemon is stopping.
+func stoppingRefusal() *refuse.Refusal {
+	return refuse.NotRun(refuse.Draining, "the daemon is stopping")
+}
+
 // rejection returns the reply for a request that was not sent to the backend server.
 func rejection(err error) *reply {
 	out := &reply{Outcome: rejected, Reason: refuse.NoServer, Detail: err.Error()}
