link: Await the answers to own calls at the end of a link

A stopping daemon that has sent a caller's request to the daemon beside a backend server closed the link without waiting for the answer: that daemon dropped the work, and the caller got 502 (outcome unknown).

TestStopAwaitsSentCalls failed before in 5 of 5 runs, with 2 s for Close and an answer after 0.2 s: "AnswerLost (ran: unknown): no answer of a backend server".

Shutdown closes the sending side only when no call of its own waits for an answer. Calls that are cancelled meanwhile count until their outcome is known.

--- a/link/conn.go
+++ b/link/conn.go
@@ -157,6 +157,7 @@
 		c.mu.Lock()
 		w := c.waiting[f.ID]
 		delete(c.waiting, f.ID)
+		c.checkSettled()
 		c.mu.Unlock()
 		if w != nil {
 			w.answer <- f.Body
@@ -368,6 +369,7 @@
 func (c *Conn) removeWaiter(id uint64) {
 	c.mu.Lock()
 	delete(c.waiting, id)
+	c.checkSettled()
 	c.mu.Unlock()
 }
 
@@ -386,5 +388,6 @@
 			break
 		}
 	}
+	c.checkSettled()
 	return true
 }
--- a/link/shutdown.go
+++ b/link/shutdown.go
@@ -4,13 +4,13 @@
 
 // shutdown is the state of a Conn that Shutdown is ending. It is guarded by Conn.mu.
 type shutdown struct {
-	settled    chan struct{} // closed when nothing more is to be written; nil: Shutdown was not called
+	settled    chan struct{} // closed when no call is left and all is written; nil: Shutdown was not called
 	halfClosed bool          // the sending side is closed
 }
 
-// Shutdown ends the connection without losing answers: it sends no further calls, waits until each call of the other
-// daemon has been answered and all frames are written, closes the sending side and waits for the other daemon to close
-// the connection. If ctx is done before, it closes the connection. Calls that arrive meanwhile are handled; Handlers.Call
+// Shutdown ends the connection without losing answers: it sends no further calls, waits until each call of either daemon
+// has been answered and all frames are written, closes the sending side and waits for the other daemon to close the
+// connection. If ctx is done before, it closes the connection. Calls that arrive meanwhile are handled; Handlers.Call
 // should refuse them.
 func (c *Conn) Shutdown(ctx context.Context) {
 	defer c.Close()
@@ -49,9 +49,10 @@
 	return ok && h.CloseWrite() == nil
 }
 
-// checkSettled has Shutdown continue if nothing more is to be written. From then on, nothing is. The caller holds c.mu.
+// checkSettled has Shutdown continue if no call is left and all is written. From then on, nothing is written. The caller
+// holds c.mu.
 func (c *Conn) checkSettled() {
-	if c.end.settled == nil || c.end.halfClosed || c.unanswered > 0 || len(c.queue) > 0 || c.writing {
+	if c.end.settled == nil || c.end.halfClosed || c.unanswered > 0 || len(c.waiting) > 0 || len(c.queue) > 0 || c.writing {
 		return
 	}
 	c.end.halfClosed = true
--- a/mesh/stop_test.go
+++ b/mesh/stop_test.go
@@ -107,3 +107,16 @@
 	t.Logf("%d waited, %d ran", waiting, b.backend.total.Load())
 	is.Equal(unknown, int(b.backend.total.Load()))
 }
+
+// TestStopAwaitsSentCalls guards against a stopping daemon that closes a link over which it has sent a caller's request,
+// so that the backend server's work is dropped and the caller gets 502.
+func TestStopAwaitsSentCalls(t *testing.T) {
+	is := is.New(t)
+	_, a, b := twoNodes(t)
+	answer, release := callOther(t, a, b)
+	time.AfterFunc(200*time.Millisecond, release)
+	stopNode(a, 10*time.Millisecond, 2*time.Second)
+	ans := <-answer
+	is.Equal(ans.Refusal, nil)
+	is.Equal(ans.Status, 200)
+}
