--- a/link/conn.go
+++ b/link/conn.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,7 +34,8 @@
 )
 
 // Handlers handle calls and notices from the other daemon. Call runs in its own goroutine; its context is
-// cancelled when the caller cancels or the connection is closed. Notices are handled in order of arrival.
+// cancelled when the caller cancels or the connection is closed. An empty answer means that the outcome is not known.
+// Notices are handled in order of arrival.
 type Handlers struct {
 	Call   func(ctx context.Context, c *Conn, body []byte) []byte
 	Notice func(c *Conn, body []byte)
@@ -43,6 +45,8 @@
 type queuedFrame struct {
 	frame []byte
 	id    uint64 // of a call; zero for other frames
+	// answer means that the frame answers a call of the other daemon.
+	answer bool
 }
 
 // waiter is a call waiting for its answer.
@@ -66,7 +70,10 @@
 	nextID       uint64
 	waiting      map[uint64]*waiter
 	running      map[uint64]context.CancelFunc
+	unanswered   int // calls of the other daemon whose answer has not been written
+	writing      bool
 	closed       bool
+	end          shutdown
 	pinged       bool
 	silent       bool
 	confirming   chan struct{} // closed when the next frame arrives; nil: no Confirm waits
@@ -150,6 +157,7 @@
 		c.mu.Lock()
 		w := c.waiting[f.ID]
 		delete(c.waiting, f.ID)
+		c.checkSettled()
 		c.mu.Unlock()
 		if w != nil {
 			w.answer <- f.Body
@@ -175,6 +183,11 @@
 func (c *Conn) startCall(f frame) {
 	ctx, cancel := context.WithCancel(c.ctx)
 	c.mu.Lock()
+	if c.end.halfClosed {
+		c.mu.Unlock()
+		cancel()
+		return // can't be answered
+	}
 	if c.closed || len(c.running) >= maxRunningCalls || c.h.Call == nil {
 		c.mu.Unlock()
 		cancel()
@@ -182,6 +195,7 @@
 		return
 	}
 	c.running[f.ID] = cancel
+	c.unanswered++
 	c.mu.Unlock()
 	go func() {
 		body := c.h.Call(ctx, c, f.Body)
@@ -189,15 +203,43 @@
 		c.mu.Lock()
 		delete(c.running, f.ID)
 		c.mu.Unlock()
-		c.enqueue(frame{Kind: kindAnswer, ID: f.ID, Body: body}, 0)
+		c.answer(f.ID, body)
 	}()
 }
 
+// Unanswered returns the number of calls from the other daemon whose answer has not been written. It is zero if the
+// connection is closed.
+func (c *Conn) Unanswered() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return 0
+	}
+	return c.unanswered
+}
+
+// answer queues the answer to a call. If it exceeds the frame size or the write queue is full, an answer without a body
+// goes before all other frames, so that the call ends at once rather than at its deadline.
+func (c *Conn) answer(id uint64, body []byte) {
+	if c.enqueue(frame{Kind: kindAnswer, ID: id, Body: body}, 0) {
+		return
+	}
+	b, err := frame{Kind: kindAnswer, ID: id}.encode()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err != nil || c.closed {
+		return
+	}
+	c.queue = slices.Insert(c.queue, 0, queuedFrame{frame: b, answer: true})
+	c.queuedBytes += len(b)
+	c.queueReady.Signal()
+}
+
 // Notify queues a notice, and reports false if it is lost because the connection is closed or its queue is full.
 func (c *Conn) Notify(body []byte) bool { return c.enqueue(frame{Kind: kindNotice, Body: body}, 0) }
 
-// enqueue queues f for writing. It reports false if the connection is closed, its queue is full or f is too
-// large.
+// enqueue queues f for writing. It reports false if the connection is closed or closing, its queue is full or f is too
+// large. A connection that Shutdown is ending takes no calls, and nothing at all once its sending side is closed.
 func (c *Conn) enqueue(f frame, id uint64) bool {
 	b, err := f.encode()
 	if err != nil {
@@ -205,10 +247,10 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed || c.queuedBytes+len(b) > maxQueuedBytes {
+	if c.closed || c.end.halfClosed || c.queuedBytes+len(b) > maxQueuedBytes || (id > 0 && c.end.settled != nil) {
 		return false
 	}
-	c.queue = append(c.queue, queuedFrame{frame: b, id: id})
+	c.queue = append(c.queue, queuedFrame{frame: b, id: id, answer: f.Kind == kindAnswer})
 	c.queuedBytes += len(b)
 	c.queueReady.Signal()
 	return true
@@ -218,8 +260,12 @@
 func (c *Conn) writeLoop() {
 	defer c.Close()
 	var buf []byte
+	answers := 0 // in buf
 	for {
 		c.mu.Lock()
+		c.unanswered -= answers
+		c.writing = false
+		c.checkSettled()
 		for len(c.queue) == 0 && !c.closed {
 			c.queueReady.Wait()
 		}
@@ -227,7 +273,7 @@
 			c.mu.Unlock()
 			return
 		}
-		buf = buf[:0]
+		buf, answers = buf[:0], 0
 		n := 0
 		for _, o := range c.queue {
 			if len(buf) > 0 && len(buf)+len(o.frame) > 64<<10 {
@@ -237,10 +283,14 @@
 				w.sent = true
 			}
 			buf = append(buf, o.frame...)
+			if o.answer {
+				answers++
+			}
 			c.queuedBytes -= len(o.frame)
 			n++
 		}
 		c.queue = append(c.queue[:0], c.queue[n:]...)
+		c.writing = true
 		c.mu.Unlock()
 		if err := c.nc.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 			return
@@ -254,7 +304,7 @@
 // Call sends a call and returns the body of its answer. When ctx is done, the call is cancelled at the other
 // daemon, whose answer is still returned if it arrives within cancelReplyTimeout. If the connection becomes
 // silent, onSilent is called if it is not nil, and the call goes on: the other daemon may only be slow. The error
-// wraps ErrNotSent if nothing of the call was written, and ErrLost otherwise.
+// wraps ErrNotSent if nothing of the call was written, and ErrLost otherwise, also if the answer has no body.
 func (c *Conn) Call(ctx context.Context, body []byte, onSilent func()) ([]byte, error) {
 	w := &waiter{answer: make(chan []byte, 1), onSilent: onSilent}
 	c.mu.Lock()
@@ -272,12 +322,12 @@
 	c.mu.Unlock()
 	if !c.enqueue(frame{Kind: kindCall, ID: id, Body: body}, id) {
 		c.removeWaiter(id)
-		return nil, fmt.Errorf("%w: connection closed, write queue full or frame too large", ErrNotSent)
+		return nil, fmt.Errorf("%w: connection closed or closing, write queue full or frame too large", ErrNotSent)
 	}
 	select {
 	case b, ok := <-w.answer:
 		if ok {
-			return b, nil
+			return checkAnswer(b)
 		}
 		if !c.wasSent(w) {
 			return nil, fmt.Errorf("%w: connection ended", ErrNotSent)
@@ -294,7 +344,7 @@
 	select {
 	case b, ok := <-w.answer:
 		if ok {
-			return b, nil
+			return checkAnswer(b)
 		}
 	case <-t.C:
 	}
@@ -302,6 +352,14 @@
 	return nil, fmt.Errorf("%w: %w", ErrLost, ctx.Err())
 }
 
+// checkAnswer returns the body of an answer. An answer without one means that the other daemon could not send it.
+func checkAnswer(body []byte) ([]byte, error) {
+	if len(body) == 0 {
+		return nil, fmt.Errorf("%w: not sent by the other daemon", ErrLost)
+	}
+	return body, nil
+}
+
 func (c *Conn) wasSent(w *waiter) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -311,6 +369,7 @@
 func (c *Conn) removeWaiter(id uint64) {
 	c.mu.Lock()
 	delete(c.waiting, id)
+	c.checkSettled()
 	c.mu.Unlock()
 }
 
@@ -329,5 +388,6 @@
 			break
 		}
 	}
+	c.checkSettled()
 	return true
 }
