origin: Skip a repeated answer to any earlier request

What callers saw: a faulty backend server wrote an earlier answer or refusal once more, and the next caller on the connection got 502, although its request ran and its own answer followed.

Cause: a connection remembered only the id of its previous request. The answer to one before that counted as the answer of an unknown request.

TestConnectionCarriesLimitedRequests guards the limit.

--- a/origin/client_test.go
+++ b/origin/client_test.go
@@ -60,7 +60,10 @@
 			return
 		}
 		_, _ = io.Copy(io.Discard, req.Body)
-		b.requests <- req
+		select {
+		case b.requests <- req:
+		default: // the test reads none
+		}
 		s := answer(int(b.served.Add(1)))
 		switch s {
 		case "":
--- a/origin/conn.go
+++ b/origin/conn.go
@@ -20,7 +20,7 @@
 	head        *headLimiter // between nc and r
 	r           *bufio.Reader
 	bodies      *BodyBudget
-	previous    string        // id of the previous request
+	carried     carriedIDs
 	idleSince   time.Time     // when it became idle
 	idleTimeout time.Duration // how long it may stay idle
 	idleRead    chan error    // result of the read that is pending while the connection is idle
@@ -29,7 +29,9 @@
 
 func newConn(nc net.Conn, bodies *BodyBudget) *conn {
 	head := &headLimiter{r: nc}
-	return &conn{nc: nc, head: head, r: bufio.NewReaderSize(head, 4096), bodies: bodies, idleTimeout: defaultIdleTimeout}
+	return &conn{
+		nc: nc, head: head, r: bufio.NewReaderSize(head, 4096), bodies: bodies, carried: carriedIDs{}, idleTimeout: defaultIdleTimeout,
+	}
 }
 
 func (c *conn) close() { c.once.Do(func() { _ = c.nc.Close() }) }
@@ -60,6 +62,7 @@
 func (c *conn) exchange(ctx context.Context, r *Request, n Names) (*Response, error) {
 	stop := context.AfterFunc(ctx, c.close)
 	defer stop()
+	c.carried.add(r.ID)
 	// If setting the deadline fails, the next read or write fails as well.
 	_ = c.nc.SetDeadline(r.Deadline.Add(deadlineGrace))
 	if k, err := c.nc.Write(r.encode(n, time.Now())); err != nil {
@@ -71,18 +74,17 @@
 	return c.readResponse(r, n)
 }
 
-// readResponse reads the answer to r. A repeated answer to the previous request is skipped: the answer to r
-// follows it.
+// readResponse reads the answer to r. A repeated answer to an earlier request is skipped: the answer to r follows
+// it.
 func (c *conn) readResponse(r *Request, n Names) (*Response, error) {
 	for stale := 0; ; stale++ {
 		hr, body, err := c.readAnswer(r) //nolint:bodyclose // readAnswer has read the body
 		if err != nil {
 			return nil, err
 		}
-		if id := hr.Header.Get(n.Request); id != "" && id != r.ID && id == c.previous && stale < maxStaleAnswers && !hr.Close {
+		if id := hr.Header.Get(n.Request); id != "" && id != r.ID && c.carried.has(id) && stale < maxStaleAnswers && !hr.Close {
 			continue
 		}
-		c.previous = r.ID
 		return newResponse(r, hr, body, n)
 	}
 }
@@ -160,7 +162,7 @@
 // reusable reports whether another request may be sent after resp. A connection with data after the end of a
 // response is not reused, because that data belongs to no request.
 func (c *conn) reusable(resp *Response) bool {
-	if resp.idleTimeout <= 0 || c.r.Buffered() > 0 {
+	if resp.idleTimeout <= 0 || c.r.Buffered() > 0 || c.carried.full() {
 		return false
 	}
 	c.idleTimeout = resp.idleTimeout
--- a/origin/limit.go
+++ b/origin/limit.go
@@ -12,7 +12,7 @@
 	maxHeadBytes = 64 << 10
 	// maxInterimAnswers limits the interim answers (1xx) before the final one.
 	maxInterimAnswers = 8
-	// maxStaleAnswers limits the repeated answers to the previous request that are skipped on a connection.
+	// maxStaleAnswers limits the repeated answers to earlier requests that are skipped before an answer.
 	maxStaleAnswers = 2
 )
 
--- /dev/null
+++ b/origin/repeat_test.go
@@ -0,0 +1,73 @@
+package origin
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const (
+	refusal = "HTTP/1.1 503 Full\r\nX-Id: ID\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+)
+
+// answerTo returns the answer s to the request id.
+func answerTo(id, s string) string { return strings.ReplaceAll(s, "ID", id) }
+
+// TestEarlierAnswerRepeated guards against an earlier answer that a backend server writes once more on a kept
+// connection: a later request counted as not run although it was running, or got an answer that is not its own.
+func TestEarlierAnswerRepeated(t *testing.T) {
+	ok := okResponse
+	tests := map[string]struct {
+		ids     []string // of the requests
+		answers []string // on the first connection; every other connection gets the complete answer
+		conns   int32
+	}{
+		"refusal of the previous request":  {[]string{"r1", "r2"}, []string{refusal, answerTo("r1", refusal) + ok}, 1},
+		"refusal of an earlier request":    {[]string{"r1", "r2", "r3"}, []string{refusal, ok, answerTo("r1", refusal) + ok}, 1},
+		"refusals of two earlier requests": {[]string{"r1", "r2", "r3"}, []string{refusal, refusal, answerTo("r1", refusal) + answerTo("r2", refusal) + ok}, 1},
+		"refusal after an interim answer":  {[]string{"r1", "r2", "r3"}, []string{refusal, ok, "HTTP/1.1 100 Continue\r\n\r\n" + answerTo("r1", refusal) + ok}, 1},
+		"answer of an earlier request":     {[]string{"r1", "r2", "r3"}, []string{ok, ok, answerTo("r1", ok) + ok}, 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var b *backend
+			b = serve(t, func(n int) string {
+				if b.conns.Load() > 1 {
+					return ok
+				}
+				return tt.answers[n-1]
+			})
+			c := New(Deps{Addr: b.addr, Names: testNames})
+			defer c.Close()
+			last := len(tt.ids) - 1
+			for _, id := range tt.ids[:last] {
+				_, err := c.Do(t.Context(), newRequest(id), false)
+				is.NoErr(err)
+			}
+			resp, err := c.Do(t.Context(), newRequest(tt.ids[last]), false)
+			is.NoErr(err)
+			is.Equal(resp.Status, 200)
+			is.True(!resp.NotRun)
+			is.Equal(b.conns.Load(), tt.conns)
+			is.Equal(b.served.Load(), int32(len(tt.ids))) // no request is sent twice
+		})
+	}
+}
+
+// TestConnectionCarriesLimitedRequests guards against ids of requests that fill the memory of a daemon which keeps a
+// connection for hours.
+func TestConnectionCarriesLimitedRequests(t *testing.T) {
+	is := is.New(t)
+	b := serve(t, func(int) string { return okResponse })
+	c := New(Deps{Addr: b.addr, Names: testNames})
+	defer c.Close()
+	for i := range maxConnRequests + 1 {
+		is.Equal(b.conns.Load(), min(int32(i), 1))
+		_, err := c.Do(t.Context(), newRequest(fmt.Sprint("r", i)), false)
+		is.NoErr(err)
+	}
+	is.Equal(b.conns.Load(), int32(2))
+}
