origin: Send no request id twice on one connection

What callers saw: a request that was sent again with its id, after a refusal, was answered "not run" (503, 421) although the backend server had it and ran it; a request that may not run twice could then run at a second server.

Cause: the repeat could take the connection that had carried the refusal. If the backend server wrote the refusal once more there, its id was that of the repeat, so that nothing told it from the answer. The same holds for answers: a copy of an earlier 500 was returned for a repeat that succeeded.

Change: a request takes no connection that has carried its id. A copy has the id of a request that the connection carried before, so that it is never the id of the present one, wherever it arrives. The connection that has carried the id is closed if no other is idle, since many repeats of one request would otherwise leave an idle connection each.

TestRepeatsShareConnections guards the number of connections.

--- a/origin/client.go
+++ b/origin/client.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -53,8 +54,8 @@
 }
 
 // Do sends r and returns the complete response. For a request that is not idempotent it uses only a new or
-// recently used connection. When ctx is done, the connection is closed, which tells the backend server to
-// stop processing.
+// recently used connection, and never one that has carried a request with the same id. When ctx is done, the
+// connection is closed, which tells the backend server to stop processing.
 func (c *Client) Do(ctx context.Context, r *Request, idempotent bool) (*Response, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
@@ -63,7 +64,7 @@
 	if idempotent {
 		limit = time.Hour
 	}
-	cn := c.takeIdle(limit)
+	cn := c.takeIdle(limit, r.ID)
 	if cn == nil {
 		var err error
 		if cn, err = c.dial(ctx); err != nil {
@@ -92,23 +93,34 @@
 	return newConn(nc, c.d.Bodies), nil
 }
 
-// takeIdle returns an idle connection that was used within limit; nil if there is none.
-func (c *Client) takeIdle(limit time.Duration) *conn {
+// takeIdle returns an idle connection that was used within limit and has not carried the request id; nil if there is
+// none.
+func (c *Client) takeIdle(limit time.Duration, id string) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	for len(c.idle) > 0 {
-		last := len(c.idle) - 1
-		cn := c.idle[last]
+	var carrier *conn // has carried id
+	for i := len(c.idle) - 1; i >= 0; i-- {
+		cn := c.idle[i]
 		if now.Sub(cn.idleSince) > limit {
 			break // the remaining ones have been idle for longer
 		}
-		c.idle = c.idle[:last]
+		if cn.carried.has(id) {
+			carrier = cn
+			continue
+		}
+		c.idle = slices.Delete(c.idle, i, i+1)
 		if now.Sub(cn.idleSince) < cn.idleTimeout && cn.stopIdleRead() {
 			return cn
 		}
 		cn.close()
 	}
+	if i := slices.Index(c.idle, carrier); i >= 0 {
+		// A new connection replaces it. Otherwise many repeats of one request would exceed the backend server's limit
+		// of connections.
+		carrier.close()
+		c.idle = slices.Delete(c.idle, i, i+1)
+	}
 	for len(c.idle) > 0 && now.Sub(c.idle[0].idleSince) >= c.idle[0].idleTimeout {
 		c.idle[0].close()
 		c.idle = c.idle[1:]
--- a/origin/client_test.go
+++ b/origin/client_test.go
@@ -29,6 +29,7 @@
 	conns    atomic.Int32
 	served   atomic.Int32
 	requests chan *http.Request
+	later    func(n int) string // if set, returns what is written after the answer to the request n
 }
 
 func serve(t *testing.T, answer func(n int) string) *backend {
@@ -64,7 +65,8 @@
 		case b.requests <- req:
 		default: // the test reads none
 		}
-		s := answer(int(b.served.Add(1)))
+		n := int(b.served.Add(1))
+		s := answer(n)
 		switch s {
 		case "":
 			return
@@ -81,6 +83,12 @@
 		if strings.Contains(s, "unframed") {
 			return
 		}
+		if b.later == nil {
+			continue
+		}
+		if _, err := io.WriteString(c, b.later(n)); err != nil {
+			return
+		}
 	}
 }
 
--- a/origin/conn.go
+++ b/origin/conn.go
@@ -14,7 +14,8 @@
 // deadlineGrace is how long after a request's deadline the backend server's own answer is still awaited.
 const deadlineGrace = 100 * time.Millisecond
 
-// conn is one connection to a backend server.
+// conn is one connection to a backend server. It carries no two requests with the same id: a backend server may
+// write an earlier answer once more, and only the id tells it from the answer to the present request.
 type conn struct {
 	nc          net.Conn
 	head        *headLimiter // between nc and r
--- a/origin/repeat_test.go
+++ b/origin/repeat_test.go
@@ -4,12 +4,14 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
 
 const (
-	refusal = "HTTP/1.1 503 Full\r\nX-Id: ID\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	refusal     = "HTTP/1.1 503 Full\r\nX-Id: ID\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	misdirected = "HTTP/1.1 421 No\r\nX-Id: ID\r\nX-Answerer: i-2\r\nContent-Length: 0\r\n\r\n"
 )
 
 // answerTo returns the answer s to the request id.
@@ -18,17 +20,23 @@
 // TestEarlierAnswerRepeated guards against an earlier answer that a backend server writes once more on a kept
 // connection: a later request counted as not run although it was running, or got an answer that is not its own.
 func TestEarlierAnswerRepeated(t *testing.T) {
+	failure := strings.Replace(okResponse, "200 OK", "500 No", 1)
 	ok := okResponse
 	tests := map[string]struct {
 		ids     []string // of the requests
 		answers []string // on the first connection; every other connection gets the complete answer
 		conns   int32
 	}{
-		"refusal of the previous request":  {[]string{"r1", "r2"}, []string{refusal, answerTo("r1", refusal) + ok}, 1},
-		"refusal of an earlier request":    {[]string{"r1", "r2", "r3"}, []string{refusal, ok, answerTo("r1", refusal) + ok}, 1},
-		"refusals of two earlier requests": {[]string{"r1", "r2", "r3"}, []string{refusal, refusal, answerTo("r1", refusal) + answerTo("r2", refusal) + ok}, 1},
-		"refusal after an interim answer":  {[]string{"r1", "r2", "r3"}, []string{refusal, ok, "HTTP/1.1 100 Continue\r\n\r\n" + answerTo("r1", refusal) + ok}, 1},
-		"answer of an earlier request":     {[]string{"r1", "r2", "r3"}, []string{ok, ok, answerTo("r1", ok) + ok}, 1},
+		"refusal of the previous request":      {[]string{"r1", "r2"}, []string{refusal, answerTo("r1", refusal) + ok}, 1},
+		"refusal of an earlier request":        {[]string{"r1", "r2", "r3"}, []string{refusal, ok, answerTo("r1", refusal) + ok}, 1},
+		"refusals of two earlier requests":     {[]string{"r1", "r2", "r3"}, []string{refusal, refusal, answerTo("r1", refusal) + answerTo("r2", refusal) + ok}, 1},
+		"refusal after an interim answer":      {[]string{"r1", "r2", "r3"}, []string{refusal, ok, "HTTP/1.1 100 Continue\r\n\r\n" + answerTo("r1", refusal) + ok}, 1},
+		"answer of an earlier request":         {[]string{"r1", "r2", "r3"}, []string{ok, ok, answerTo("r1", ok) + ok}, 1},
+		"refusal of the same request":          {[]string{"r1", "r1"}, []string{refusal, refusal + ok}, 2},
+		"refusal of the same request, earlier": {[]string{"r1", "r2", "r1"}, []string{refusal, ok, refusal + ok}, 2},
+		"answer of the same request":           {[]string{"r1", "r1"}, []string{failure, failure + ok}, 2},
+		"421 of the same request":              {[]string{"r1", "r1"}, []string{misdirected, misdirected + ok}, 2},
+		"kept after the same request":          {[]string{"r1", "r1", "r2", "r3"}, []string{refusal, ok, ok, ok}, 2},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -57,6 +65,58 @@
 	}
 }
 
+// TestAnswerRepeatedWhileIdle guards against an earlier refusal that arrives while its connection is idle, and is
+// read as the answer to the next request.
+func TestAnswerRepeatedWhileIdle(t *testing.T) {
+	for _, id := range []string{"r1", "r2"} {
+		for _, pause := range []time.Duration{0, time.Millisecond, 20 * time.Millisecond} {
+			t.Run(fmt.Sprint(id, " after ", pause), func(t *testing.T) {
+				is := is.New(t)
+				copied := make(chan struct{})
+				b := serve(t, func(n int) string {
+					if n == 1 {
+						return refusal
+					}
+					return okResponse
+				})
+				b.later = func(n int) string {
+					if n > 1 {
+						return ""
+					}
+					<-copied
+					return answerTo("r1", refusal)
+				}
+				c := New(Deps{Addr: b.addr, Names: testNames})
+				defer c.Close()
+				_, err := c.Do(t.Context(), newRequest("r1"), false)
+				is.NoErr(err)
+				close(copied)
+				time.Sleep(pause)
+				resp, err := c.Do(t.Context(), newRequest(id), false)
+				is.NoErr(err)
+				is.Equal(resp.Status, 200)
+			})
+		}
+	}
+}
+
+// TestRepeatsShareConnections guards against a request that is sent many times and leaves an idle connection each
+// time, up to the limit of the backend server.
+func TestRepeatsShareConnections(t *testing.T) {
+	is := is.New(t)
+	b := serve(t, func(int) string { return refusal })
+	c := New(Deps{Addr: b.addr, Names: testNames})
+	defer c.Close()
+	for range 10 {
+		_, err := c.Do(t.Context(), newRequest("r"), false)
+		is.NoErr(err)
+		is.Equal(len(c.idle), 1)
+	}
+	_, err := c.Do(t.Context(), newRequest("other"), false)
+	is.NoErr(err)
+	is.Equal(b.conns.Load(), int32(10))
+}
+
 // TestConnectionCarriesLimitedRequests guards against ids of requests that fill the memory of a daemon which keeps a
 // connection for hours.
 func TestConnectionCarriesLimitedRequests(t *testing.T) {
