mesh: Count a request as not run only if its server says so

What callers would see: a request that may not run twice ran at two servers, if the answer named another process than the intended one although it had run.

Cause: an answer with the id of another backend server was taken for "not run" whatever its status; only 421 and the header of refusals say that.

Change: without such a statement the outcome is unknown.

Evidence: the new case of TestFailures, "unsafe, run by another server", failed before: the call ran at the second server too ("not true: ans.Refusal != nil").

--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -58,6 +58,7 @@
 		w.Header().Set("X-Not-Run", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
+	otherID := func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("X-Answerer", "i-other") }
 	tests := map[string]struct {
 		path  string
 		do    func(http.ResponseWriter, *http.Request)
@@ -76,6 +77,7 @@
 		"safe, lost at both":            {"/s/get/", abort, abort, 0, refuse.RanUnknown, 2},
 		"safe, lost, then not run":      {"/s/get/", abort, full, 0, refuse.RanUnknown, 2},
 		"unsafe, not run and then lost": {"/s/buy/", full, abort, 0, refuse.RanUnknown, 2},
+		"unsafe, run by another server": {"/s/buy/", otherID, nil, 0, refuse.RanUnknown, 1},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/mesh/target.go
+++ b/mesh/target.go
@@ -89,10 +89,15 @@
 	if resp.Load.Known {
 		out.Report.Slowness = resp.Load.Slowness
 	}
-	switch {
-	case resp.Instance != "" && resp.Instance != s.ID:
+	replaced := resp.Instance != "" && resp.Instance != s.ID
+	if replaced {
 		n.d.Log.Emit(event.BackendReplaced, "Server", s.ID, "Found", resp.Instance)
+	}
+	switch {
+	case replaced && resp.NotRun:
 		out.Outcome, out.Reason, out.Detail = shed, refuse.NoServer, "another backend server has the address"
+	case replaced:
+		out = &reply{Outcome: lost, Reason: refuse.AnswerLost, Detail: "another backend server ran the request"}
 	case resp.NotRun:
 		out.Outcome, out.Reason, out.Detail = shed, refuse.Shedding, "the backend server did not run the request"
 	default:
