--- a/origin/client_test.go
+++ b/origin/client_test.go
@@ -29,6 +29,7 @@
 	conns    atomic.Int32
 	served   atomic.Int32
 	requests chan *http.Request
+	later    func(n int) string // if set, returns what is written after the answer to the request n
 }
 
 func serve(t *testing.T, answer func(n int) string) *backend {
@@ -60,8 +61,12 @@
 			return
 		}
 		_, _ = io.Copy(io.Discard, req.Body)
-		b.requests <- req
-		s := answer(int(b.served.Add(1)))
+		select {
+		case b.requests <- req:
+		default: // the test reads none
+		}
+		n := int(b.served.Add(1))
+		s := answer(n)
 		switch s {
 		case "":
 			return
@@ -78,6 +83,12 @@
 		if strings.Contains(s, "unframed") {
 			return
 		}
+		if b.later == nil {
+			continue
+		}
+		if _, err := io.WriteString(c, b.later(n)); err != nil {
+			return
+		}
 	}
 }
 
--- a/origin/conn.go
+++ b/origin/conn.go
@@ -14,13 +14,14 @@
 // deadlineGrace is how long after a request's deadline the backend server's own answer is still awaited.
 const deadlineGrace = 100 * time.Millisecond
 
-// conn is one connection to a backend server.
+// conn is one connection to a backend server. It carries no two requests with the same id: a backend server may
+// write an earlier answer once more, and only the id tells it from the answer to the present request.
 type conn struct {
 	nc          net.Conn
 	head        *headLimiter // between nc and r
 	r           *bufio.Reader
 	bodies      *BodyBudget
-	previous    string        // id of the previous request
+	carried     carriedIDs
 	idleSince   time.Time     // when it became idle
 	idleTimeout time.Duration // how long it may stay idle
 	idleRead    chan error    // result of the read that is pending while the connection is idle
@@ -29,7 +30,9 @@
 
 func newConn(nc net.Conn, bodies *BodyBudget) *conn {
 	head := &headLimiter{r: nc}
-	return &conn{nc: nc, head: head, r: bufio.NewReaderSize(head, 4096), bodies: bodies, idleTimeout: defaultIdleTimeout}
+	return &conn{
+		nc: nc, head: head, r: bufio.NewReaderSize(head, 4096), bodies: bodies, carried: carriedIDs{}, idleTimeout: defaultIdleTimeout,
+	}
 }
 
 func (c *conn) close() { c.once.Do(func() { _ = c.nc.Close() }) }
@@ -60,6 +63,7 @@
 func (c *conn) exchange(ctx context.Context, r *Request, n Names) (*Response, error) {
 	stop := context.AfterFunc(ctx, c.close)
 	defer stop()
+	c.carried.add(r.ID)
 	// If setting the deadline fails, the next read or write fails as well.
 	_ = c.nc.SetDeadline(r.Deadline.Add(deadlineGrace))
 	if k, err := c.nc.Write(r.encode(n, time.Now())); err != nil {
@@ -71,19 +75,18 @@
 	return c.readResponse(r, n)
 }
 
-// readResponse reads the answer to r. A repeated answer to the previous request is skipped: the answer to r
-// follows it.
+// readResponse reads the answer to r. A repeated answer to an earlier request is skipped: the answer to r follows
+// it.
 func (c *conn) readResponse(r *Request, n Names) (*Response, error) {
 	for stale := 0; ; stale++ {
 		hr, body, err := c.readAnswer(r) //nolint:bodyclose // readAnswer has read the body
 		if err != nil {
 			return nil, err
 		}
-		if id := hr.Header.Get(n.Request); id != "" && id != r.ID && id == c.previous && stale < maxStaleAnswers && !hr.Close {
+		if id := hr.Header.Get(n.Request); id != "" && id != r.ID && c.carried.has(id) && stale < maxStaleAnswers && !hr.Close {
 			continue
 		}
-		c.previous = r.ID
-		return newResponse(r, hr, body, n)
+		return c.newResponse(r, hr, body, n)
 	}
 }
 
@@ -116,7 +119,7 @@
 }
 
 // newResponse returns the response of r, or an error if it cannot be the complete answer to r.
-func newResponse(r *Request, hr *http.Response, body []byte, n Names) (*Response, error) {
+func (c *conn) newResponse(r *Request, hr *http.Response, body []byte, n Names) (*Response, error) {
 	resp := &Response{
 		Status: hr.StatusCode, Header: hr.Header, Body: body,
 		Stamped:     hr.Header.Get(n.Stamp) != "",
@@ -132,25 +135,28 @@
 	for _, k := range []string{n.Load, n.InstanceID, "Content-Length"} {
 		hr.Header.Del(k)
 	}
-	if hr.Close || (hr.ContentLength < 0 && len(hr.TransferEncoding) == 0) {
+	if hr.Close || (hr.ContentLength < 0 && len(hr.TransferEncoding) == 0) || hr.Header.Get(n.Request) == "" {
 		resp.idleTimeout = 0
 	}
-	if err := checkResponse(r, resp, n); err != nil {
+	if err := c.checkResponse(r, resp, n); err != nil {
 		return nil, err
 	}
 	return resp, nil
 }
 
-// checkResponse returns an error if resp cannot be the backend server's complete answer to r.
-func checkResponse(r *Request, resp *Response, n Names) error {
+// checkResponse returns an error if resp cannot be the backend server's complete answer to r. A refusal without an
+// id is one only on a new connection: on another one it may be that of an earlier request, and r may run.
+func (c *conn) checkResponse(r *Request, resp *Response, n Names) error {
 	id := resp.Header.Get(n.Request)
 	switch {
+	case id == "" && (!resp.NotRun || len(c.carried) > 1):
+		return fmt.Errorf("%w: %w: status %d without id", ErrLost, ErrInvalidAnswer, resp.Status)
 	case id != "" && id != r.ID:
 		return fmt.Errorf("%w: %w: answer of request %s", ErrLost, ErrInvalidAnswer, id)
 	case resp.NotRun:
 		return nil
-	case !resp.Stamped || id == "":
-		return fmt.Errorf("%w: %w: status %d without id or stamp", ErrLost, ErrInvalidAnswer, resp.Status)
+	case !resp.Stamped:
+		return fmt.Errorf("%w: %w: status %d without stamp", ErrLost, ErrInvalidAnswer, resp.Status)
 	case resp.Header.Get("Content-Encoding") != "":
 		return fmt.Errorf("%w: %w: encoded body", ErrLost, ErrInvalidAnswer)
 	}
@@ -160,7 +166,7 @@
 // reusable reports whether another request may be sent after resp. A connection with data after the end of a
 // response is not reused, because that data belongs to no request.
 func (c *conn) reusable(resp *Response) bool {
-	if resp.idleTimeout <= 0 || c.r.Buffered() > 0 {
+	if resp.idleTimeout <= 0 || c.r.Buffered() > 0 || c.carried.full() {
 		return false
 	}
 	c.idleTimeout = resp.idleTimeout
