origin: Reject answers with a space in Content-Length

An answer with "Content-Length : 10" that was cut after eight bytes was passed on as a 200 with a short body, framed as whole. The same holds for "Transfer-Encoding : chunked".

net/http keeps such names as they are and doesn't take them for the framing of the body, so it reads the answer until the connection ends. RFC 9112 forbids the space.

TestInvalidFraming failed before in "space after length" and "space after coding" with "taken for complete: &{Status:200 ..."; its other cases passed at once. The head is now checked before the body is read, and the answer counts as lost.

--- a/origin/conn.go
+++ b/origin/conn.go
@@ -102,6 +102,9 @@
 		if hr.StatusCode < 200 {
 			continue
 		}
+		if err := checkFraming(hr.Header); err != nil {
+			return nil, nil, fmt.Errorf("%w: %w: %w", ErrLost, ErrInvalidAnswer, err)
+		}
 		// The body is not closed: Close would read an endless one to its end. It holds no resources besides c.
 		body, err := readBody(hr.Body, hr.ContentLength, c.bodies)
 		if errors.Is(err, errBodyTooLong) || errors.Is(err, errNoBodyMemory) {
