proxy: Test answers that are cut at each byte

Guards the path with members as origin's TestCutAnswers does its own: a server ends its answer after each byte, by a close and by a reset, on TCP connections.

--- a/emul/cut.go
+++ b/emul/cut.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -27,7 +28,6 @@
 	return map[string]AnswerForm{
 		"length":              {http.MethodGet, length, text, text, false},
 		"length first":        {http.MethodGet, "HTTP/1.1 " + status + "\r\nContent-Length: 10\r\n" + fields + "\r\n", text, text, false},
-		"length, closing":     {http.MethodGet, head("HTTP/1.1", "Connection: close\r\nContent-Length: 10\r\n"), text, text, false},
 		"length, HTTP/1.0":    {http.MethodGet, head("HTTP/1.0", "Content-Length: 10\r\n"), text, text, false},
 		"after 100":           {http.MethodGet, "HTTP/1.1 100 Continue\r\n\r\n" + length, text, text, false},
 		"empty":               {http.MethodGet, head("HTTP/1.1", "Content-Length: 0\r\n"), "", "", false},
@@ -39,6 +39,15 @@
 	}
 }
 
+// RefusalForms returns the forms of AnswerForms in which servers refuse requests.
+func RefusalForms(status, fields string) map[string]AnswerForm {
+	forms := AnswerForms(status, fields)
+	maps.DeleteFunc(forms, func(name string, _ AnswerForm) bool {
+		return name != "length" && name != "chunks" && name != "no length"
+	})
+	return forms
+}
+
 // CutAnswer is what a CutBackend writes before it ends the connection.
 type CutAnswer struct {
 	Bytes string
@@ -78,7 +87,11 @@
 	if _, err := io.WriteString(c, a.Bytes); err != nil {
 		return
 	}
-	if tcp, ok := c.(*net.TCPConn); ok && a.Reset {
-		_ = tcp.SetLinger(0)
+	if !a.Reset {
+		return
+	}
+	l, ok := c.(interface{ SetLinger(seconds int) error })
+	if !ok || l.SetLinger(0) != nil {
+		panic("the connection can't be reset")
 	}
 }
--- a/emul/net.go
+++ b/emul/net.go
@@ -205,3 +205,12 @@
 	}
 	return errors.ErrUnsupported
 }
+
+// SetLinger sets what Close does with unsent data; zero resets the connection. The error is errors.ErrUnsupported in
+// memory.
+func (c *netConn) SetLinger(seconds int) error {
+	if l, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		return l.SetLinger(seconds)
+	}
+	return errors.ErrUnsupported
+}
--- /dev/null
+++ b/proxy/cut_test.go
@@ -0,0 +1,69 @@
+package proxy
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/marjoramcroft/marjoramcroft/emul"
+	"github.com/marjoramcroft/marjoramcroft/refuse"
+)
+
+// newCutRig returns a rig on loopback whose only backend server ends its connections within answers.
+func newCutRig(t *testing.T) (*rig, *emul.CutBackend) {
+	t.Helper()
+	is := is.New(t)
+	g := newRigOn(emul.NewLoopback(), t, 1, nil)
+	t.Cleanup(g.close)
+	_ = g.backends[0].Close()
+	ln, err := g.net.Listen("b0")
+	is.NoErr(err)
+	t.Cleanup(func() { _ = ln.Close() })
+	b := &emul.CutBackend{}
+	go b.Serve(ln)
+	return g, b
+}
+
+// TestCutAnswers guards against an answer that ends early, at any byte of its head or body, and reaches the caller as a
+// whole answer, or as the promise that the call has not run.
+func TestCutAnswers(t *testing.T) {
+	const shed = HeaderShed + ": " + ShedNotRun + "\r\n"
+	tests := map[string]struct {
+		forms   map[string]emul.AnswerForm
+		refusal bool
+		reset   bool
+	}{
+		"answer, closed":  {emul.AnswerForms("200 OK", ""), false, false},
+		"answer, reset":   {emul.AnswerForms("200 OK", ""), false, true},
+		"refusal, closed": {emul.RefusalForms("503 Full", shed), true, false},
+		"refusal, reset":  {emul.RefusalForms("503 Full", shed), true, true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g, b := newCutRig(t)
+			for form, f := range tt.forms {
+				answer := f.Head + f.Body
+				for n := range len(answer) + 1 {
+					b.Set(emul.CutAnswer{Bytes: answer[:n], Reset: tt.reset})
+					got := g.call(t.Context(), f.Method, "/once", fmt.Sprint(form, n), nil)
+					lost := got.err != nil || got.reason == refuse.AnswerLost && got.ran == refuse.RanUnknown
+					switch {
+					case tt.refusal && n >= len(f.Head):
+						// A complete head says that the call has not run, whatever follows.
+						if got.ran != refuse.RanNo || got.reason != refuse.Shedding {
+							t.Errorf("%s, %d bytes: %+v", form, n, got)
+						}
+					case n == len(answer) && !f.UntilClose:
+						if got.status != 200 || got.reason != "" || got.body != f.Content || got.err != nil {
+							t.Errorf("%s: %+v", form, got)
+						}
+					case !lost:
+						t.Errorf("%s, %q: %+v", form, answer[:n], got)
+					}
+				}
+			}
+		})
+	}
+}
