proxy: Reset callers of HTTP/1.0 in a cut answer

A caller of HTTP/1.0 got a 200 with a short body, framed as whole, when the server's connection ended within an answer in chunks. Such a caller gets a body of unknown length without chunks, which ends with the connection, and the daemon closed it as after a whole one.

TestCutAnswerOldCaller failed before at each cut after the first byte of content: '"4\r\n0": got "200 0" as a whole answer'. Now the connection is reset, so that the caller's read fails. Callers of HTTP/1.1 miss the last chunk, as before; package platform always states a length.

--- a/proxy/cut_test.go
+++ b/proxy/cut_test.go
@@ -1,7 +1,13 @@
 package proxy
 
 import (
+	"bufio"
+	"errors"
 	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"syscall"
 	"testing"
 
 	"github.com/matryer/is"
@@ -67,3 +73,37 @@
 		})
 	}
 }
+
+// TestCutAnswerOldCaller guards against a cut answer that a caller of HTTP/1.0 takes for complete: it gets a body of
+// unknown length without chunks, whose end is the close of the connection.
+func TestCutAnswerOldCaller(t *testing.T) {
+	is := is.New(t)
+	g, b := newCutRig(t)
+	f := emul.AnswerForms("200 OK", "")["chunks"]
+	for n := range len(f.Body) {
+		b.Set(emul.CutAnswer{Bytes: f.Head + f.Body[:n]})
+		c, err := g.net.Dial(t.Context(), "tcp", "entry")
+		is.NoErr(err)
+		_, err = fmt.Fprintf(c, "GET /once HTTP/1.0\r\n%s: office\r\n%s: %d\r\n\r\n", HeaderMember, emul.HeaderRequest, n)
+		is.NoErr(err)
+		body, err := readAll(c)
+		_ = c.Close()
+		if err == nil && !strings.HasPrefix(body, "502") {
+			t.Errorf("%q: got %q as a whole answer", f.Body[:n], body)
+		}
+		if err != nil && !errors.Is(err, syscall.ECONNRESET) && !errors.Is(err, io.ErrUnexpectedEOF) {
+			t.Errorf("%q: %v", f.Body[:n], err)
+		}
+	}
+}
+
+// readAll returns the status and the body of an answer.
+func readAll(r io.Reader) (string, error) {
+	resp, err := http.ReadResponse(bufio.NewReader(r), nil)
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return fmt.Sprint(resp.StatusCode, " ", string(b)), err
+}
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -150,7 +150,7 @@
 	e.d.Stats.Inc("Entry.Answered")
 	if err := relayBody(w, resp, k); err != nil {
 		e.truncated(c, err)
-		panic(http.ErrAbortHandler)
+		abort(w, c.r)
 	}
 }
 
--- a/proxy/keyed.go
+++ b/proxy/keyed.go
@@ -61,7 +61,7 @@
 	e.finish(c, req, k.answer(status, header))
 	if err != nil {
 		e.truncated(c, err)
-		panic(http.ErrAbortHandler)
+		abort(w, c.r)
 	}
 	e.d.Stats.Inc("Entry.Answered")
 }
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -47,11 +47,33 @@
 	return StoredAnswer{Ran: refuse.RanYes, Kept: true, Status: status, Header: header, Body: k.body}
 }
 
-// relay sends resp to w. If the body is truncated, it aborts the connection by a panic with
-// http.ErrAbortHandler, so that the reader does not take the response for complete.
-func relay(w http.ResponseWriter, resp *http.Response) {
+// relay sends resp to w. If the body is truncated, it aborts the connection, so that the reader
+// does not take the response for complete.
+func relay(w http.ResponseWriter, r *http.Request, resp *http.Response) {
 	if err := relayBody(w, resp, nil); err != nil {
-		panic(http.ErrAbortHandler)
+		abort(w, r)
+	}
+}
+
+// abort ends the connection of r in the middle of its response, by a panic with
+// http.ErrAbortHandler. For HTTP/1.0 the connection is reset, because a close is the regular end
+// of a body of unknown length.
+func abort(w http.ResponseWriter, r *http.Request) {
+	if !r.ProtoAtLeast(1, 1) {
+		resetConn(w)
+	}
+	panic(http.ErrAbortHandler)
+}
+
+func resetConn(w http.ResponseWriter) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return // the connection has ended
+	}
+	defer c.Close()
+	if l, ok := c.(interface{ SetLinger(seconds int) error }); ok {
+		// If it fails, the connection is already broken.
+		_ = l.SetLinger(0)
 	}
 }
 
--- a/proxy/target.go
+++ b/proxy/target.go
@@ -68,7 +68,7 @@
 		return
 	}
 	defer resp.Body.Close()
-	relay(w, resp)
+	relay(w, r, resp)
 }
 
 func (t *Target) refuse(w http.ResponseWriter, ref *refuse.Refusal) {
