--- a/emul/cut.go
+++ b/emul/cut.go
@@ -56,9 +56,13 @@
 
 // CutBackend is a backend server that ends its connections at any byte of an answer.
 type CutBackend struct {
-	answer atomic.Pointer[CutAnswer]
+	answer   atomic.Pointer[CutAnswer]
+	requests atomic.Int64
 }
 
+// Requests returns the number of requests that have arrived.
+func (b *CutBackend) Requests() int64 { return b.requests.Load() }
+
 // Set sets the answer to the next requests.
 func (b *CutBackend) Set(a CutAnswer) { b.answer.Store(&a) }
 
@@ -83,6 +87,7 @@
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
+	b.requests.Add(1)
 	a := b.answer.Load()
 	if _, err := io.WriteString(c, a.Bytes); err != nil {
 		return
