wire, daemon: Keep serving after failed accepts

The members' daemon ended when a control connection could not be accepted, also at the limit of descriptors, or a caller's for another reason than that limit: wire.Listener.Serve returned each error but net.ErrClosed, and kratos ends the application with the first server that fails.

Listener now pauses up to 1 s and retries, as mesh.ServeLinks does, and the daemon logs event 816. Its HTTP server uses the retrying listener that package platform got, which moves to wire.RetryAccept.

TestListenerAfterAcceptErrors failed before with "connection closed: write pipe: i/o timeout" (nothing was accepted any more), TestListenerClosePause with "accept: too many open files".

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -109,6 +109,9 @@
 	}
 	dm.log = d.Log.With("Daemon", dm.httpAddr)
 	dm.controlListener = wire.NewListener(controlListener, dm.handle)
+	dm.controlListener.AcceptFailed = func(err error, pause time.Duration) {
+		dm.log.Emit(event.LinkNotAccepted, "Error", err, "Pause", pause)
+	}
 	if err := dm.build(d.Driver); err != nil {
 		cancel()
 		return nil, errors.Join(err, httpListener.Close(), controlListener.Close())
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -16,6 +16,7 @@
 
 	"github.com/marjoramcroft/marjoramcroft/event"
 	"github.com/marjoramcroft/marjoramcroft/peers"
+	"github.com/marjoramcroft/marjoramcroft/wire"
 )
 
 // leaveTimeout bounds the announcement to other daemons that this one leaves.
@@ -39,7 +40,7 @@
 func (d *Daemon) Run(ctx context.Context) error {
 	discardKratosLog()
 	d.httpServer = khttp.NewServer(
-		khttp.Listener(d.httpListener),
+		khttp.Listener(wire.RetryAccept(d.httpListener)),
 		khttp.Timeout(0), // calls have their own deadlines
 		// Bypass the router, which would clean the paths of calls.
 		khttp.Filter(func(http.Handler) http.Handler { return d }),
--- a/platform/accept.go
+++ b/wire/accept.go
@@ -1,13 +1,15 @@
-package platform
+package wire
 
 import (
 	"errors"
 	"net"
 )
 
-// retryListener has net/http retry each failed Accept with a growing pause. By itself net/http retries only at the limit
-// of descriptors and ends the server at other errors, such as those of a kernel that is short of memory; the process
-// would exit with all requests in flight.
+// RetryAccept returns a listener with which net/http's server retries each failed Accept, with a growing pause. By
+// itself the server retries only at the limit of descriptors and ends at other errors, such as those of a kernel that is
+// short of memory; the process would exit with all requests in flight.
+func RetryAccept(ln net.Listener) net.Listener { return retryListener{ln} }
+
 type retryListener struct {
 	net.Listener
 }
--- a/wire/listener.go
+++ b/wire/listener.go
@@ -6,12 +6,20 @@
 	"fmt"
 	"net"
 	"sync"
+	"time"
+
+	"github.com/marjoramcroft/marjoramcroft/delay"
 )
 
 // Listener accepts connections and serves them with one handler.
 type Listener struct {
+	// AcceptFailed is called when a connection could not be accepted, with the pause until the next attempt; may be nil.
+	AcceptFailed func(err error, pause time.Duration)
+
 	ln      net.Listener
 	handler Handler
+	ctx     context.Context // ends with Close
+	cancel  context.CancelFunc
 
 	mu    sync.Mutex
 	conns map[*Conn]struct{}
@@ -20,22 +28,41 @@
 
 // NewListener returns a Listener on ln.
 func NewListener(ln net.Listener, handler Handler) *Listener {
-	return &Listener{ln: ln, handler: handler, conns: map[*Conn]struct{}{}}
+	l := &Listener{ln: ln, handler: handler, conns: map[*Conn]struct{}{}}
+	l.ctx, l.cancel = context.WithCancel(context.Background())
+	return l
 }
 
 // Addr returns the address of the listener.
 func (l *Listener) Addr() string { return l.ln.Addr().String() }
 
-// Serve accepts connections until Close.
+// acceptPause and maxAcceptPause bound the pause after a connection could not be accepted, such as at the limit of
+// descriptors.
+const (
+	acceptPause    = 5 * time.Millisecond
+	maxAcceptPause = time.Second
+)
+
+// Serve accepts connections until Close. It continues after errors: they concern one connection or pass, and a daemon
+// that ended would cut its calls.
 func (l *Listener) Serve() error {
+	pause := acceptPause
 	for {
 		nc, err := l.ln.Accept()
-		if errors.Is(err, net.ErrClosed) {
+		switch {
+		case errors.Is(err, net.ErrClosed):
 			return nil
+		case err != nil:
+			if l.AcceptFailed != nil {
+				l.AcceptFailed(err, pause)
+			}
+			if !delay.Sleep(l.ctx, pause) {
+				return nil
+			}
+			pause = min(maxAcceptPause, 2*pause)
+			continue
 		}
-		if err != nil {
-			return fmt.Errorf("accept: %w", err)
-		}
+		pause = acceptPause
 		c := NewConn(nc, l.handler)
 		l.add(c)
 	}
@@ -55,6 +82,7 @@
 
 // Close stops accepting, closes all connections and waits for them to end.
 func (l *Listener) Close() error {
+	l.cancel()
 	err := l.ln.Close()
 	l.mu.Lock()
 	for c := range l.conns {
