daemon: Start no service while the daemon stops

A daemon that was stopped while it handled the first announcement of its backend server read the cancel function of the keeper while the other goroutine wrote it: the service was visible before it had been started. With an unlucky order the daemon calls a nil function and panics in the middle of its graceful stop. If the announcement came after the handover, the service started all the same and its units and records were never handed over.

Found by a trial of the tests of package demo with -race, which stop a cluster right after its start: "DATA RACE, leaveService, daemon/run.go:112" against "(*service).run, daemon/service.go:60".

--- a/admin/server.go
+++ b/admin/server.go
@@ -31,6 +31,9 @@
 // Draining or Gone.
 var ErrLeftProcess = errors.New("announcement of a process of the backend server that has left: it has announced Draining or Gone")
 
+// ErrStopping is returned by Deps.Announce if the first announcement comes while the daemon stops.
+var ErrStopping = errors.New("daemon is stopping")
+
 // Deps are the functions of the daemon that the Server calls.
 type Deps struct {
 	Ready    func() error // returns why the daemon does not serve calls, or nil
--- a/daemon/backend.go
+++ b/daemon/backend.go
@@ -31,8 +31,8 @@
 
 // handleAnnouncement applies an announcement of the backend server and publishes changes. It returns
 // admin.ErrWrongServer if the service differs from that of earlier announcements, and
-// admin.ErrFormerProcess if a later process has already announced itself, and admin.ErrLeftProcess if this one
-// had announced that it leaves.
+// admin.ErrFormerProcess if a later process has already announced itself, admin.ErrLeftProcess if this one
+// had announced that it leaves, and admin.ErrStopping if it is the first one and the daemon is stopping.
 func (d *Daemon) handleAnnouncement(a admin.Announcement) error {
 	d.backend.announceMu.Lock()
 	defer d.backend.announceMu.Unlock()
@@ -114,7 +114,8 @@
 }
 
 // ensureService returns the daemon's service and starts it on the first call. A daemon serves only one
-// service, so that any other id returns admin.ErrWrongServer.
+// service, so that any other id returns admin.ErrWrongServer. A daemon that is stopping starts no service and
+// returns admin.ErrStopping.
 func (d *Daemon) ensureService(id ident.ServiceID) (*service, error) {
 	d.backend.mu.Lock()
 	defer d.backend.mu.Unlock()
@@ -124,6 +125,9 @@
 		}
 		return s, nil
 	}
+	if d.stopping.Load() {
+		return nil, admin.ErrStopping
+	}
 	// Subscribe to the other daemons of the service, which the keeper and the exchange of suspects need.
 	d.agent.Subscribe(id)
 	s := d.newService(id)
@@ -132,3 +136,11 @@
 	s.run(d.ctx)
 	return s, nil
 }
+
+// finalService returns the service of a daemon that is stopping, or nil if there is none. A service that is
+// being started meanwhile is started completely before finalService returns, and no other one starts later.
+func (d *Daemon) finalService() *service {
+	d.backend.mu.Lock()
+	defer d.backend.mu.Unlock()
+	return d.service.Load()
+}
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -104,7 +104,7 @@
 
 // leaveService ends the keeper and hands idempotency records and units over to other daemons.
 func (d *Daemon) leaveService() {
-	s := d.service.Load()
+	s := d.finalService()
 	if s == nil {
 		return
 	}
@@ -128,7 +128,7 @@
 	_ = d.controlListener.Close()
 	d.conns.close()
 	d.wg.Wait()
-	if s := d.service.Load(); s != nil {
+	if s := d.finalService(); s != nil {
 		s.keeperWG.Wait()
 		s.wg.Wait()
 	}
