--- a/link/cut_test.go
+++ b/link/cut_test.go
@@ -48,5 +48,5 @@
 			_ = far.(*net.TCPConn).SetLinger(0)
 		}
 	}()
-	return c.Call(t.Context(), []byte("call"), true)
+	return c.Call(t.Context(), []byte("call"), nil)
 }
