link: Have the other daemon send no calls before a link ends

A caller got 502 (outcome unknown) for a call that reached a link at the moment at which the daemon beside the backend server closed it: the call was dropped, though it had not run, and the daemon that sent it could not know that.

Shutdown sends a stop frame, and the other daemon replies when it has written its last call. Calls that it has not written end as not sent, so that it tries another server; those that cross the frame are refused as not run by mesh, which is stopping.

--- a/link/conn.go
+++ b/link/conn.go
@@ -176,6 +176,10 @@
 	case kindPing:
 		c.enqueue(frame{Kind: kindPong}, 0)
 	case kindPong:
+	case kindStop:
+		c.stopCalls()
+	case kindStopped:
+		c.endStopWait()
 	}
 }
 
@@ -239,7 +243,7 @@
 func (c *Conn) Notify(body []byte) bool { return c.enqueue(frame{Kind: kindNotice, Body: body}, 0) }
 
 // enqueue queues f for writing. It reports false if the connection is closed or closing, its queue is full or f is too
-// large. A connection that Shutdown is ending takes no calls, and nothing at all once its sending side is closed.
+// large. A connection that either daemon is ending takes no calls, and nothing at all once its sending side is closed.
 func (c *Conn) enqueue(f frame, id uint64) bool {
 	b, err := f.encode()
 	if err != nil {
@@ -247,7 +251,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed || c.end.halfClosed || c.queuedBytes+len(b) > maxQueuedBytes || (id > 0 && c.end.settled != nil) {
+	if c.closed || c.end.halfClosed || c.queuedBytes+len(b) > maxQueuedBytes || (id > 0 && c.end.refusesCalls()) {
 		return false
 	}
 	c.queue = append(c.queue, queuedFrame{frame: b, id: id, answer: f.Kind == kindAnswer})
--- a/link/frame.go
+++ b/link/frame.go
@@ -2,7 +2,8 @@
 
 import "github.com/marjoramcroft/marjoramcroft/wire"
 
-// kind is the type of a frame.
+// kind is the type of a frame. Unknown kinds are ignored, as daemons of two builds run side by side during a rolling
+// restart.
 type kind uint8
 
 const (
@@ -12,6 +13,8 @@
 	kindNotice
 	kindPing
 	kindPong
+	kindStop    // the sender is ending the connection and wants no further calls
+	kindStopped // answers kindStop: the sender sends no further calls
 )
 
 // frame is one message on a connection. It is encoded as an array, which omits the field names.
--- a/mesh/stop_test.go
+++ b/mesh/stop_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -120,3 +121,35 @@
 	is.Equal(ans.Refusal, nil)
 	is.Equal(ans.Status, 200)
 }
+
+// TestStopBesideCalls guards against calls that reach a link at the moment at which it is closed: they get 502, though
+// they have not run.
+func TestStopBesideCalls(t *testing.T) {
+	is := is.New(t)
+	_, a, b := twoNodes(t)
+	a.heartbeat(Draining)
+	a.waitForServers(t, "s", 1)
+	var unknown, ran, stopped atomic.Int32
+	var wg sync.WaitGroup
+	for range 4 { // as many as slots
+		wg.Go(func() {
+			for stopped.Load() == 0 {
+				switch ans := a.call(t.Context(), "/s/buy/"); {
+				case ans.Refusal == nil:
+					ran.Add(1)
+				case ans.Refusal.Ran == refuse.RanUnknown:
+					unknown.Add(1)
+				}
+			}
+		})
+	}
+	eventually(t, "calls run", func() bool { return ran.Load() > 100 })
+	_ = b.ln.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	b.Close(ctx) // without Drain, after which the other daemon sends no calls
+	stopped.Store(1)
+	wg.Wait()
+	is.Equal(unknown.Load(), int32(0))
+	is.Equal(ran.Load(), b.backend.total.Load())
+}
