mesh: Count the links to each daemon

At the end of each link a daemon walked all of its links to see whether another one to the same daemon is open.

TestLinksOfOneDaemon failed before where a link gets another daemon: the earlier one counted as linked for good. Addresses of links do not change in use, so that callers have not seen this.

--- a/mesh/links.go
+++ b/mesh/links.go
@@ -178,36 +178,52 @@
 
 // serveLink serves an incoming or outgoing link until it is closed.
 func (n *Node) serveLink(c *link.Conn) {
-	n.mu.Lock()
-	n.conns[c] = ""
-	n.mu.Unlock()
+	n.addConn(c)
 	n.sendHello(c)
 	_ = c.Serve() // the error is ignored: the other daemon may have stopped
 	n.removeConn(c)
 	n.subs.removeLink(c)
 }
 
+// addConn records an open link.
+func (n *Node) addConn(c *link.Conn) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.conns[c] = ""
+}
+
 // removeConn forgets a closed link. Its daemon counts as linked while another link to it is open, whichever of the
 // two daemons opened that.
 func (n *Node) removeConn(c *link.Conn) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	addr := n.conns[c]
-	delete(n.conns, c)
-	for _, a := range n.conns {
-		if a == addr {
-			return
-		}
+	if addr, ok := n.conns[c]; ok {
+		delete(n.conns, c)
+		n.countLink(addr, -1)
 	}
-	n.peers.clearLinked(addr)
 }
 
 // identifyConn records the daemon at the other end of a link.
 func (n *Node) identifyConn(c *link.Conn, addr ident.Addr) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if _, ok := n.conns[c]; ok {
+	if old, ok := n.conns[c]; ok && old != addr {
 		n.conns[c] = addr
+		n.countLink(addr, 1)
+		n.countLink(old, -1)
+	}
+}
+
+// countLink adds d to the number of open links to the daemon at addr; an empty addr is not known yet. The caller holds
+// n.mu.
+func (n *Node) countLink(addr ident.Addr, d int) {
+	if addr == "" {
+		return
+	}
+	n.linkCount[addr] += d
+	if n.linkCount[addr] == 0 {
+		delete(n.linkCount, addr)
+		n.peers.clearLinked(addr)
 	}
 }
 
--- a/mesh/links_test.go
+++ b/mesh/links_test.go
@@ -13,6 +13,8 @@
 
 	"github.com/marjoramcroft/marjoramcroft/emul"
 	"github.com/marjoramcroft/marjoramcroft/event"
+	"github.com/marjoramcroft/marjoramcroft/ident"
+	"github.com/marjoramcroft/marjoramcroft/link"
 	"github.com/marjoramcroft/marjoramcroft/stats"
 )
 
@@ -62,3 +64,54 @@
 		n.stop()
 	})
 }
+
+// TestLinksOfOneDaemon guards against a daemon that counts as gone while a link to it is open, and against one that counts
+// as linked for good after its last link was closed.
+func TestLinksOfOneDaemon(t *testing.T) {
+	is := is.New(t)
+	n := New(Deps{Self: "self", Config: DefaultConfig(), Log: event.Discard(), Stats: stats.New()})
+	n.updatePeer(Peer{Addr: "a", Life: 1}, true)
+	n.updatePeer(Peer{Addr: "b", Life: 1}, true)
+	linked := func(addr ident.Addr) bool { return n.peers.peers[addr].linked }
+	first, second, unidentified := linkTo(n, "a"), linkTo(n, "a"), linkTo(n, "")
+	n.identifyConn(first, "a") // its state arrives again
+	n.removeConn(unidentified)
+	n.removeConn(first)
+	n.removeConn(first)
+	is.True(linked("a"))
+	n.identifyConn(second, "b") // another daemon has taken over its address
+	is.True(!linked("a"))
+	n.removeConn(second)
+	is.True(!linked("b"))
+	is.Equal(len(n.conns), 0)
+}
+
+// linkTo returns a link of n whose other daemon is at addr; empty: not known yet.
+func linkTo(n *Node, addr ident.Addr) *link.Conn {
+	c := link.New(nil, link.Handlers{})
+	n.addConn(c)
+	if addr != "" {
+		n.identifyConn(c, addr)
+	}
+	return c
+}
+
+// BenchmarkLinksLost measures the end of the links to all other daemons.
+func BenchmarkLinksLost(b *testing.B) {
+	for _, daemons := range []int{300, 3000} {
+		b.Run(fmt.Sprint(daemons), func(b *testing.B) {
+			for b.Loop() {
+				b.StopTimer()
+				n := New(Deps{Self: "self", Config: DefaultConfig(), Log: event.Discard(), Stats: stats.New()})
+				conns := make([]*link.Conn, daemons)
+				for i := range conns {
+					conns[i] = linkTo(n, ident.Addr(fmt.Sprint("10.0.0.", i)))
+				}
+				b.StartTimer()
+				for _, c := range conns {
+					n.removeConn(c)
+				}
+			}
+		})
+	}
+}
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -96,6 +96,7 @@
 	seq          int64
 	doc          *document                 // the configuration in force; nil: none
 	conns        map[*link.Conn]ident.Addr // the daemon at the other end; empty until it has sent its state
+	linkCount    map[ident.Addr]int        // the number of conns to each daemon; none is zero
 	entry        ownEntry
 	departureSeq int64     // sequence number of the last state with a new departure
 	era          store.Era // highest era of the store so far; zero: not known
@@ -115,7 +116,7 @@
 		bodies: origin.NewBodyBudget(d.Config.BodyMemory),
 		links:  links{open: map[ident.Addr]*pendingLink{}},
 		subs:   newSubscriptions(), stored: newStoredSeq(),
-		conns: map[*link.Conn]ident.Addr{}, entryOutdated: make(chan struct{}, 1), newerVersion: make(chan struct{}, 1),
+		conns: map[*link.Conn]ident.Addr{}, linkCount: map[ident.Addr]int{}, entryOutdated: make(chan struct{}, 1), newerVersion: make(chan struct{}, 1),
 	}
 	n.retries = retry.NewSharedBudget(d.Config.Retries, n.peers.daemons, d.Now)
 	n.ctx, n.stop = context.WithCancel(context.Background())
