link, mesh: Refuse a call above the limit rather than end its link

All calls of a daemon ended with an unknown outcome (502) when it had 1,025 in progress at another one: that one closed the link with the 1,024 that it was handling.

TestTooManyCalls failed before: all 1,027 calls were lost, "connection ended".

Only the calls above the limit are now answered, as not run, so that the other daemon tries another server.

--- a/link/answer_test.go
+++ b/link/answer_test.go
@@ -56,3 +56,38 @@
 		})
 	}
 }
+
+// TestTooManyCalls guards against one call above the limit that ends all calls of its daemon as lost, though they run.
+func TestTooManyCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a, b := net.Pipe()
+		release := make(chan struct{})
+		caller := New(a, Handlers{})
+		other := New(b, Handlers{Busy: []byte("not run"), Call: func(context.Context, *Conn, []byte) []byte {
+			<-release
+			return []byte("ran")
+		}})
+		for _, c := range []*Conn{caller, other} {
+			go func() { _ = c.Serve() }()
+			defer c.Close()
+		}
+		answers := map[string]int{}
+		ended := make(chan string)
+		for range maxRunningCalls + 3 {
+			go func() {
+				b, err := caller.Call(t.Context(), []byte("x"), nil)
+				if err != nil {
+					b = []byte(err.Error())
+				}
+				ended <- string(b)
+			}()
+		}
+		synctest.Wait()
+		close(release)
+		for range maxRunningCalls + 3 {
+			answers[<-ended]++
+		}
+		is.Equal(answers, map[string]int{"ran": maxRunningCalls, "not run": 3})
+	})
+}
--- a/link/conn.go
+++ b/link/conn.go
@@ -39,6 +39,8 @@
 type Handlers struct {
 	Call   func(ctx context.Context, c *Conn, body []byte) []byte
 	Notice func(c *Conn, body []byte)
+	// Busy answers calls above the number that is handled at once. They do not run.
+	Busy []byte
 }
 
 // queuedFrame is an encoded frame waiting to be written.
@@ -192,14 +194,20 @@
 		cancel()
 		return // can't be answered
 	}
-	if c.closed || len(c.running) >= maxRunningCalls || c.h.Call == nil {
+	if c.closed || c.h.Call == nil {
 		c.mu.Unlock()
 		cancel()
-		c.Close() // a daemon that exceeds the limit is disconnected rather than left waiting
+		c.Close() // a daemon that expects no calls disconnects rather than leave the other one waiting
 		return
 	}
-	c.running[f.ID] = cancel
 	c.unanswered++
+	if len(c.running) >= maxRunningCalls {
+		c.mu.Unlock()
+		cancel()
+		c.answer(f.ID, c.h.Busy)
+		return
+	}
+	c.running[f.ID] = cancel
 	c.mu.Unlock()
 	go func() {
 		body := c.h.Call(ctx, c, f.Body)
--- a/mesh/links.go
+++ b/mesh/links.go
@@ -173,7 +173,12 @@
 }
 
 func (n *Node) handlers() link.Handlers {
-	return link.Handlers{Call: n.handleCall, Notice: n.handleNotice}
+	return link.Handlers{Call: n.handleCall, Notice: n.handleNotice, Busy: n.encodeReply("", tooManyCalls())}
+}
+
+// tooManyCalls returns the reply to a call of a daemon that has too many in progress here.
+func tooManyCalls() *reply {
+	return rejection(refuse.NotRun(refuse.QueueFull, "the daemon handles too many calls of another one"))
 }
 
 // serveLink serves an incoming or outgoing link until it is closed.
--- a/mesh/links_test.go
+++ b/mesh/links_test.go
@@ -15,7 +15,9 @@
 	"github.com/marjoramcroft/marjoramcroft/event"
 	"github.com/marjoramcroft/marjoramcroft/ident"
 	"github.com/marjoramcroft/marjoramcroft/link"
+	"github.com/marjoramcroft/marjoramcroft/refuse"
 	"github.com/marjoramcroft/marjoramcroft/stats"
+	"github.com/marjoramcroft/marjoramcroft/wire"
 )
 
 // shortListener fails to accept a number of times, as at the limit of descriptors.
@@ -115,3 +117,14 @@
 		})
 	}
 }
+
+// TestTooManyCallsReply guards against a reply to calls above the limit from which the other daemon can't tell that they
+// have not run.
+func TestTooManyCallsReply(t *testing.T) {
+	is := is.New(t)
+	n := New(Deps{Self: "self", Config: DefaultConfig(), Log: event.Discard(), Stats: stats.New()})
+	var r reply
+	is.NoErr(wire.Decode(n.handlers().Busy, &r))
+	is.Equal(r.Outcome, rejected)
+	is.Equal(r.Reason, refuse.QueueFull)
+}
--- a/mesh/target.go
+++ b/mesh/target.go
@@ -22,9 +22,14 @@
 	} else {
 		out = n.run(ctx, &r)
 	}
-	b, err := wire.Encode(out)
+	return n.encodeReply(r.ID, out)
+}
+
+// encodeReply returns the encoded reply to the request with id; nil if it can't be encoded.
+func (n *Node) encodeReply(id string, r *reply) []byte {
+	b, err := wire.Encode(r)
 	if err != nil {
-		n.d.Log.Emit(event.CallUnencodable, "Call", r.ID, "Error", err)
+		n.d.Log.Emit(event.CallUnencodable, "Call", id, "Error", err)
 		return nil
 	}
 	return b
