--- a/link/conn.go
+++ b/link/conn.go
@@ -39,6 +39,8 @@
 type Handlers struct {
 	Call   func(ctx context.Context, c *Conn, body []byte) []byte
 	Notice func(c *Conn, body []byte)
+	// Busy answers calls above the number that is handled at once. They do not run.
+	Busy []byte
 }
 
 // queuedFrame is an encoded frame waiting to be written.
@@ -176,6 +178,10 @@
 	case kindPing:
 		c.enqueue(frame{Kind: kindPong}, 0)
 	case kindPong:
+	case kindStop:
+		c.stopCalls()
+	case kindStopped:
+		c.endStopWait()
 	}
 }
 
@@ -188,14 +194,20 @@
 		cancel()
 		return // can't be answered
 	}
-	if c.closed || len(c.running) >= maxRunningCalls || c.h.Call == nil {
+	if c.closed || c.h.Call == nil {
 		c.mu.Unlock()
 		cancel()
-		c.Close() // a daemon that exceeds the limit is disconnected rather than left waiting
+		c.Close() // a daemon that expects no calls disconnects rather than leave the other one waiting
 		return
 	}
-	c.running[f.ID] = cancel
 	c.unanswered++
+	if len(c.running) >= maxRunningCalls {
+		c.mu.Unlock()
+		cancel()
+		c.answer(f.ID, c.h.Busy)
+		return
+	}
+	c.running[f.ID] = cancel
 	c.mu.Unlock()
 	go func() {
 		body := c.h.Call(ctx, c, f.Body)
@@ -239,7 +251,7 @@
 func (c *Conn) Notify(body []byte) bool { return c.enqueue(frame{Kind: kindNotice, Body: body}, 0) }
 
 // enqueue queues f for writing. It reports false if the connection is closed or closing, its queue is full or f is too
-// large. A connection that Shutdown is ending takes no calls, and nothing at all once its sending side is closed.
+// large. A connection that either daemon is ending takes no calls, and nothing at all once its sending side is closed.
 func (c *Conn) enqueue(f frame, id uint64) bool {
 	b, err := f.encode()
 	if err != nil {
@@ -247,7 +259,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed || c.end.halfClosed || c.queuedBytes+len(b) > maxQueuedBytes || (id > 0 && c.end.settled != nil) {
+	if c.closed || c.end.halfClosed || c.queuedBytes+len(b) > maxQueuedBytes || (id > 0 && c.end.refusesCalls()) {
 		return false
 	}
 	c.queue = append(c.queue, queuedFrame{frame: b, id: id, answer: f.Kind == kindAnswer})
