accept: Examine again a head that was repaired meanwhile

TestConcurrentRepairs failed in 6 of 400 plays (GOMAXPROCS=2, -race, load average 25 to 33): the second repair was refused with "restore was prepared against another head: base 3, head is damaged and counts as 5", although head was intact then. Examine reads head, its chunks and the history one after the other. If another operator repairs head in between, the damaged head that was read meets the history record of the Version that the repair produced: a head at Version 3 with a record 4 counts as one that states too low a Version, and its floor becomes 5, which nobody accepted. The operator was told that head is damaged, and PlanRestore would have stated the wrong base and Version. No second repair could take effect, since the swap of head fails.

Examine now reads head again if it finds damage, and starts over if the key has changed. The loser gets a definite answer, that head is intact and at which Version. This costs one more read of a damaged head. Examine did so for a missing key only.

TestRepairDuringExamination repairs head at the moment of the first read of the history, with five kinds of damage; four of them fail on the code before. The expectation of TestConcurrentRepairs stays. Package accept passes with -race.

--- a/accept/examine.go
+++ b/accept/examine.go
@@ -18,35 +18,45 @@
 // history. The argument served is the highest Version that daemons are known to serve; a head below
 // it has lost Versions.
 func (a *Acceptor) Examine(ctx context.Context, served ident.Version) (Head, error) {
+	v, err := a.Store.Get(ctx, HeadKey)
+	if err != nil {
+		return Head{}, err
+	}
 	for {
-		v, err := a.Store.Get(ctx, HeadKey)
+		head, err := a.examine(ctx, v, served)
+		if err != nil || head.Damage == nil {
+			return head, err
+		}
+		// The head may have been repaired, or the first change accepted, after head was read. The
+		// history is then newer than v, and Floor would be above the accepted Version.
+		again, err := a.Store.Get(ctx, HeadKey)
 		if err != nil {
 			return Head{}, err
 		}
-		head, err := DecodeHead(v)
-		if err == nil && v.Revision > 0 {
-			return a.examineRows(ctx, head, served)
+		if again.Position() == v.Position() {
+			return head, nil
 		}
-		newest, newestErr := a.newestRecorded(ctx, served)
-		if newestErr != nil {
-			return Head{}, newestErr
-		}
-		if err == nil {
-			if newest == 0 && served == 0 {
-				return head, nil // no Version has been accepted
-			}
-			// The first change may have been accepted after head was read.
-			again, getErr := a.Store.Get(ctx, HeadKey)
-			if getErr != nil {
-				return Head{}, getErr
-			}
-			if again.Revision > 0 {
-				continue
-			}
-			err = ErrHeadMissing
+		v = again
+	}
+}
+
+// examine implements Examine for v, the value of HeadKey.
+func (a *Acceptor) examine(ctx context.Context, v store.Value, served ident.Version) (Head, error) {
+	head, damage := DecodeHead(v)
+	if damage == nil && v.Revision > 0 {
+		return a.examineRows(ctx, head, served)
+	}
+	newest, err := a.newestRecorded(ctx, served)
+	if err != nil {
+		return Head{}, err
+	}
+	if damage == nil {
+		if newest == 0 && served == 0 {
+			return head, nil // no Version has been accepted
 		}
-		return a.rebuildHead(ctx, v.Position(), max(newest+1, served), newest, err)
+		damage = ErrHeadMissing
 	}
+	return a.rebuildHead(ctx, v.Position(), max(newest+1, served), newest, damage)
 }
 
 // examineRows loads the rows of a head that could be decoded. It sets Floor, and Damage if rows are
--- a/accept/repair_test.go
+++ b/accept/repair_test.go
@@ -198,6 +198,60 @@
 	}
 }
 
+// TestRepairDuringExamination guards against a repaired head that is taken for damaged, with a Version that nobody accepted,
+// because another operator repairs it between the read of the head and that of the history.
+func TestRepairDuringExamination(t *testing.T) {
+	for name, damage := range map[string]func(*testing.T, *bench){
+		"chunk removed":               func(t *testing.T, b *bench) { b.mustRemove(t, b.chunkOf(t, 3)) },
+		"chunk truncated":             func(t *testing.T, b *bench) { b.truncate(t, b.chunkOf(t, 3)) },
+		"head truncated":              func(t *testing.T, b *bench) { b.truncate(t, HeadKey) },
+		"head removed":                func(t *testing.T, b *bench) { b.mustRemove(t, HeadKey) },
+		"head states a lower version": func(t *testing.T, b *bench) { b.setVersion(t, "3", "2") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				second, plan := repairedBeforeHistory(t, damage)
+				head, err := second.Examine(t.Context(), 0)
+				is.NoErr(err)
+				is.NoErr(head.Damage)
+				is.Equal(head.Floor, plan.Version)
+
+				second, plan = repairedBeforeHistory(t, damage)
+				_, err = second.Propose(t.Context(), restore("loser", 0, plan.Base))
+				is.True(errors.Is(err, ErrHeadIntact))
+				is.Equal(second.head(t).Version, plan.Version)
+			})
+		})
+	}
+}
+
+// repairedBeforeHistory returns an Acceptor on a store with a damaged head. Once the Acceptor reads the
+// history, another one repairs the head as in the plan.
+func repairedBeforeHistory(t *testing.T, damage func(*testing.T, *bench)) (*bench, Plan) {
+	t.Helper()
+	b := threeVersions(t)
+	damage(t, b)
+	b = newBenchOn(t, b.emul) // with empty caches
+	plan, err := b.PlanRestore(t.Context(), 0, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := b.emul.Driver()
+	list, repaired := d.List, false
+	d.List = func(ctx context.Context, prefix string) ([]store.Value, error) {
+		if !repaired {
+			repaired = true
+			newBenchOn(t, b.emul).mustPropose(t, restore("winner", 0, plan.Base))
+		}
+		return list(ctx, prefix)
+	}
+	b.Store = store.New(store.Deps{
+		Driver: d, Config: b.Store.Config, Stats: b.stats, Log: b.Log, Rand: b.Rand,
+	}).As(store.RoleOperator)
+	return b, plan
+}
+
 // TestRepairWithoutIntactVersion guards against a repair that writes a head although no Version in the
 // store is intact.
 func TestRepairWithoutIntactVersion(t *testing.T) {
