demo: Let test clusters listen on an address of their process

No call of the load does this, since each states its member, and no daemon forwards one: the entry refuses it as BadRequest and the target as CapUnavailable, before anything is sent. TestCallsWithoutMemberAreNotRun holds both fast; it passes on the code before as well. The check was right to count, and the cap was enforced. What is left is a request past the daemons: all tests and soaks on the machine share 127.0.0.1, and a port of the cluster may have belonged to a server shortly before to which another process still sends.

Test clusters now listen on a loopback address that is derived from the process id. The check itself is unchanged. It also keeps others from taking the port of a daemon or backend server that restarts at its address.

--- a/demo/cluster.go
+++ b/demo/cluster.go
@@ -1,10 +1,12 @@
 package demo
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"strings"
 	"sync"
 	"time"
@@ -79,7 +81,8 @@
 
 func (c *Cluster) addNode(p ident.Place, s ident.ServiceID, seed uint64) error {
 	n := &node{place: p, service: s, settings: daemon.DefaultSettings()}
-	n.settings.Listen = daemon.ListenConfig{HTTP: "127.0.0.1:0", Control: "127.0.0.1:0"}
+	listen := net.JoinHostPort(cmp.Or(c.dep.Host, "127.0.0.1"), "0")
+	n.settings.Listen = daemon.ListenConfig{HTTP: listen, Control: listen}
 	n.settings.Place = daemon.PlaceConfig{Region: string(p.Region), DataCentre: string(p.DataCentre)}
 	n.settings.Store.Region = string(c.dep.Places[0].Region)
 	n.settings.Stop.Notice = 100 * time.Millisecond
@@ -97,7 +100,9 @@
 	n.settings.Listen = daemon.ListenConfig{HTTP: string(d.HTTP()), Control: string(d.Control())}
 	c.network.register(d.HTTP(), p, false)
 	c.network.register(d.Control(), p, true)
-	n.backend = emul.NewBackend(c.backendConfig(s, d.HTTP(), seed))
+	backend := c.backendConfig(s, d.HTTP(), seed)
+	backend.Addr = listen
+	n.backend = emul.NewBackend(backend)
 	return n.backend.Start()
 }
 
--- a/demo/demo_test.go
+++ b/demo/demo_test.go
@@ -25,8 +25,9 @@
 }
 
 // reduceLoad returns dep without its first service and with less load, so that a test of a
-// whole cluster does not overload a busy machine.
+// whole cluster does not overload a busy machine. It listens where no other process sends.
 func reduceLoad(dep Deployment) Deployment {
+	dep.Host = emul.LoopbackHost()
 	gone := dep.Services[0]
 	dep.Services = dep.Services[1:]
 	dep.Rate = 50
--- a/demo/deployment.go
+++ b/demo/deployment.go
@@ -27,6 +27,8 @@
 	Correction agree.Row
 	Mix        []emul.LoadKind
 	Rate       float64 // calls/s
+	// Host is the loopback address on which all processes listen; empty means 127.0.0.1.
+	Host string
 	// Handover is the setting Stop.Handover of the daemons; zero means 1 s.
 	Handover time.Duration
 	// Restart is the time between a crash of a backend server and its next start; zero means 1 s.
--- a/proxy/cap_test.go
+++ b/proxy/cap_test.go
@@ -5,9 +5,11 @@
 	"net/http"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/marjoramcroft/marjoramcroft/agree"
 	"github.com/marjoramcroft/marjoramcroft/ident"
 	"github.com/marjoramcroft/marjoramcroft/refuse"
 )
@@ -46,3 +48,45 @@
 		})
 	}
 }
+
+// TestCallsWithoutMemberAreNotRun guards against a call that runs without a member, so that no cap applies to it.
+func TestCallsWithoutMemberAreNotRun(t *testing.T) {
+	hop := func(member ident.MemberID) string {
+		v, err := Hop{
+			Call: 1, Version: 1, Service: "lessons", Route: "m", Member: member, Class: agree.Short,
+			Deadline: time.Now().Add(time.Second).UnixMilli(), Remaining: 1000,
+		}.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return v
+	}
+	tests := map[string]struct {
+		daemon string
+		header func() []string
+		reason refuse.Reason // empty: answered
+	}{
+		"at the entry":           {"entry", func() []string { return []string{HeaderMember, ""} }, refuse.BadRequest},
+		"unknown, at the entry":  {"entry", func() []string { return []string{HeaderMember, "nobody"} }, refuse.NoMember},
+		"at the target":          {"d0", func() []string { return []string{HeaderHop, hop("")} }, refuse.CapUnavailable},
+		"unknown, at the target": {"d0", func() []string { return []string{HeaderHop, hop("nobody")} }, refuse.CapUnavailable},
+		"known, at the target":   {"d0", func() []string { return []string{HeaderHop, hop("office")} }, ""},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				g := newRig(t, 1, nil)
+				defer g.close()
+				got := g.callAt(t.Context(), tt.daemon, http.MethodGet, "/", "r", nil, tt.header()...)
+				is.Equal(got.reason, tt.reason)
+				if tt.reason == "" {
+					is.Equal(g.runs("r"), 1)
+					return
+				}
+				is.Equal(got.ran, refuse.RanNo)
+				is.Equal(g.runs("r"), 0)
+			})
+		})
+	}
+}
