proxy: Check the call id of a refusal by the backend server

What callers saw, on the path with members: an earlier refusal that a backend server wrote once more on a kept connection was taken for the answer to the next call. The call was refused as not run, or sent to a second server, while the first one ran it.

Cause: the header of a shed call was read before the call id was compared.

Change: the id is compared first. Call ids differ for each attempt, so that a copy never has the id of the present call.

Evidence: TestEarlierAnswerRepeated failed before in both cases of a refusal with "503 != 502"; copies of answers passed, as their id was compared.

--- a/proxy/targetcall.go
+++ b/proxy/targetcall.go
@@ -203,13 +203,13 @@
 // verify returns a refusal if resp is not a complete answer of the backend server to this
 // call.
 func (c *targetCall) verify(resp *http.Response) *refuse.Refusal {
-	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderShed) == ShedNotRun {
-		return refuse.NotRun(refuse.Shedding, "backend server sheds load")
-	}
 	if id := resp.Header.Get(HeaderCall); id != "" && id != c.hop.Call.String() {
 		c.t.d.Log.Emit(event.AnswerMismatched, "Backend", c.backend.Addr, "Call", c.hop.Call, "Got", id)
 		return refuse.New(refuse.AnswerLost, refuse.RanUnknown, "the backend server answered another call")
 	}
+	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderShed) == ShedNotRun {
+		return refuse.NotRun(refuse.Shedding, "backend server sheds load")
+	}
 	if !lengthKnown(c.method, resp) {
 		return refuse.New(refuse.AnswerLost, refuse.RanUnknown, "the response has neither length nor chunks")
 	}
