proxy: Close a connection after an answer to another call

What callers saw, on the path with members: after one repeated answer, each further call on the connection was lost (502) although it ran: it got the answer to the call before it.

Cause: an answer with the id of another call closes the connection only if it has a body that is not read to its end. After one without a body, such as a refusal, http.Transport keeps the connection, on which the answer to the present call is still due. The same holds for a foreign server at the address of a daemon.

Change: the connection is closed after an answer that is not its own. A call that takes it from the Transport in this moment writes nothing, and counts as not run.

Evidence: TestEarlierAnswerRepeated failed before in 4 of 10 cases, in which the answer to the third call is late: "502 != 200" for the fourth call. It passed 100 times with the race detector. Refusals and answers that a daemon repeats were told apart before, in all 4 cases, as the id of the attempt is compared there first.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -105,6 +105,7 @@
 	}
 	if ref := a.verify(resp); ref != nil {
 		_ = resp.Body.Close()
+		trace.abandonConn()
 		return nil, ref, false
 	}
 	if ref := refuse.FromResponse(resp.Header); ref != nil {
--- a/proxy/conn.go
+++ b/proxy/conn.go
@@ -197,6 +197,18 @@
 	}
 }
 
+// abandonConn closes the connection of the request after an answer that is not its own. The Transport keeps it if that
+// answer has no body, and the next request would get the answer to this one.
+func (t *requestTrace) abandonConn() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sealConn()
+	if t.lastConn != nil {
+		// If closing fails, the connection is already broken.
+		_ = t.lastConn.Close()
+	}
+}
+
 func (t *requestTrace) sealConn() {
 	if t.conn != nil {
 		t.wrote = t.conn.seal(t.writesBefore) || t.wrote
--- a/proxy/targetcall.go
+++ b/proxy/targetcall.go
@@ -186,6 +186,7 @@
 		if ref.Reason == refuse.Shedding {
 			c.complete(GateOutcome{Shed: true}, false)
 		} else {
+			c.trace.abandonConn()
 			c.completeOnClose(GateOutcome{Failed: true})
 		}
 		return nil, ref
