proxy: Distrust an answer without a call id on a used connection

What callers saw, on the path with members: a refusal or an answer without a call id that a backend server wrote once more was taken for that to the next call: "not run" for a call that was running, or another call's answer.

Cause: the id was compared only if there was one.

Change: a refusal without an id counts only as the first answer on its connection; on any other the call may have run. An answer without one is lost on a used connection if the server has repeated an id before, as the emulated backend server always does. One that never does so is served as before.

Open: nothing tells a repeated answer, not a refusal, of a server that never repeats ids.

--- a/proxy/conn.go
+++ b/proxy/conn.go
@@ -139,6 +139,7 @@
 	// end does not matter.
 	runsUntil time.Time
 	lastConn  *trackedConn // the connection used last
+	carried   bool         // that connection had carried another request
 }
 
 // finish records that the peer has ended the request.
@@ -170,7 +171,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.sealConn()
-	t.connected = true
+	t.connected, t.carried = true, info.Reused
 	c, ok := info.Conn.(*trackedConn)
 	if !ok {
 		t.untracked = true
@@ -180,6 +181,13 @@
 	c.begin(t, t.runsUntil)
 }
 
+// reused reports whether the connection of the request had carried another one.
+func (t *requestTrace) reused() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.carried
+}
+
 // openedBefore reports whether the request uses a connection that was opened before at.
 func (t *requestTrace) openedBefore(at time.Time) bool {
 	t.mu.Lock()
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/marjoramcroft/marjoramcroft/agree"
@@ -28,6 +29,7 @@
 // occupies a connection that a short call needs.
 type pool struct {
 	short, long *http.Transport
+	repeatsIDs  atomic.Bool // an answer had the id of its call
 }
 
 func (p *pool) of(c agree.Class) *http.Transport {
--- a/proxy/targetcall.go
+++ b/proxy/targetcall.go
@@ -23,6 +23,7 @@
 	hop        Hop
 	method     string
 	backend    Backend
+	pool       *pool
 	start      time.Time
 	done       func(GateOutcome)
 	endSuspect func(bool)
@@ -172,7 +173,8 @@
 	if at, ok := c.ctx.Deadline(); ok {
 		c.trace.runsUntil = at.Add(cancelGrace)
 	}
-	resp, err := c.t.poolOf(c.backend).of(c.hop.Class).RoundTrip(out.WithContext(c.trace.attach(c.ctx)))
+	c.pool = c.t.poolOf(c.backend)
+	resp, err := c.pool.of(c.hop.Class).RoundTrip(out.WithContext(c.trace.attach(c.ctx)))
 	if err != nil {
 		return nil, c.classifyError(err, c.trace.sent())
 	}
@@ -204,11 +206,18 @@
 // verify returns a refusal if resp is not a complete answer of the backend server to this
 // call.
 func (c *targetCall) verify(resp *http.Response) *refuse.Refusal {
-	if id := resp.Header.Get(HeaderCall); id != "" && id != c.hop.Call.String() {
+	shed := resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderShed) == ShedNotRun
+	switch id := resp.Header.Get(HeaderCall); {
+	case id == c.hop.Call.String():
+		c.pool.repeatsIDs.Store(true)
+	case id != "":
 		c.t.d.Log.Emit(event.AnswerMismatched, "Backend", c.backend.Addr, "Call", c.hop.Call, "Got", id)
 		return refuse.New(refuse.AnswerLost, refuse.RanUnknown, "the backend server answered another call")
+	case c.trace.reused() && (shed || c.pool.repeatsIDs.Load()):
+		// It may be a repeated answer to an earlier call on the connection, and this call may run.
+		return refuse.New(refuse.AnswerLost, refuse.RanUnknown, "the answer has no call id")
 	}
-	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderShed) == ShedNotRun {
+	if shed {
 		return refuse.NotRun(refuse.Shedding, "backend server sheds load")
 	}
 	if !lengthKnown(c.method, resp) {
