mesh: Fit all waits for the store into the bound of a configuration

Cause: while the store did not answer the two roots, each stage waited for itself: a root confirmed its state for 2.3 s after its last answer, a relay then waited 1.2 s, and its followers up to 1 s. The sum is above the 2.5 s in which a configuration must be in force. A follower whose parents had lost the store too waited 2.8 s, above the bound by itself.

Change: a root's state ages while its watch waits, so all waits count from the store's last answer to a root. A follower asks the other parent at once if the first parent's state is old. Of two relays of a data centre the second waits longer, so that they do not both fill a narrow link.

--- a/mesh/config.go
+++ b/mesh/config.go
@@ -8,6 +8,8 @@
 
 // Config holds the settings of a Node.
 type Config struct {
+	// InForce is the time within which a configuration must be in force at all daemons that reach the store.
+	InForce time.Duration
 	// StoreLossTimeout is the time within which a daemon must detect that it lost the store. It limits how long a watch
 	// waits, because a connection can fail without being closed.
 	StoreLossTimeout time.Duration
@@ -30,6 +32,7 @@
 // DefaultConfig returns the default settings.
 func DefaultConfig() Config {
 	return Config{
+		InForce:          2500 * time.Millisecond,
 		StoreLossTimeout: 3 * time.Second,
 		Lease:            12 * time.Second,
 		BootstrapWait:    2500 * time.Millisecond,
@@ -41,4 +44,6 @@
 }
 
 // WatchWait returns how long a watch of the store waits for a change.
-func (c Config) WatchWait() time.Duration { return c.StoreLossTimeout * 6 / 10 }
+func (c Config) WatchWait() time.Duration {
+	return min(c.StoreLossTimeout*6/10, c.inForceShare(watchShare))
+}
--- a/mesh/followers.go
+++ b/mesh/followers.go
@@ -1,6 +1,8 @@
 package mesh
 
 import (
+	"time"
+
 	"github.com/marjoramcroft/marjoramcroft/event"
 	"github.com/marjoramcroft/marjoramcroft/link"
 )
@@ -36,8 +38,21 @@
 	return false
 }
 
-// confirmFollowers tells all followers how current this daemon's state is. The caller holds n.stateMu.
-func (n *Node) confirmFollowers() { n.sendFollowers(n.confirmation(), true) }
+// confirmFollowers tells all followers how current this daemon's state is.
+func (n *Node) confirmFollowers() {
+	n.stateMu.Lock()
+	defer n.stateMu.Unlock()
+	m := n.confirmation()
+	n.subs.recordTold(m.Age)
+	n.sendFollowers(m, true)
+}
+
+// recordTold records that followers are told that the state was that of the store age ago.
+func (s *subscriptions) recordTold(age time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.told = time.Now().Add(-age)
+}
 
 // notifyFollowers sends changes to the followers that want them.
 func (n *Node) notifyFollowers(m *notice) { n.sendFollowers(m, false) }
--- a/mesh/gossip.go
+++ b/mesh/gossip.go
@@ -94,7 +94,7 @@
 	}
 	n.applyConfig(c, m)
 	if followed {
-		n.confirmState(c, m, &out)
+		n.recordConfirmation(c, m, &out)
 	}
 	if len(out.Peers) > 0 || len(out.Gone) > 0 {
 		out.Version = n.Version()
@@ -113,19 +113,22 @@
 	return n.peers.setStored(p.Addr, at)
 }
 
-// confirmState records how current the state is that a parent sent. The first complete state is passed on in out.
-func (n *Node) confirmState(c *link.Conn, m, out *notice) {
+// recordConfirmation records how current the state is that a parent sent. The first complete state is passed on in out.
+func (n *Node) recordConfirmation(c *link.Conn, m, out *notice) {
 	if m.Full && n.asOf.Revision == 0 {
 		out.Full, out.Peers = true, n.peers.all("")
 	}
 	if n.subs.recordState(c, m.Full) && m.Version <= n.Version() {
 		n.asOf = n.asOf.Later(m.position())
 	}
-	behind := m.position().After(n.asOf) || m.Version > n.Version()
-	if m.UpToDate && !behind && n.asOf.Revision > 0 {
+	own, shown := progress{n.asOf, n.Version()}, progress{m.position(), m.Version}
+	if m.UpToDate {
+		n.subs.recordAge(c, m.Age)
+	}
+	if m.UpToDate && !own.lacks(shown) && n.asOf.Revision > 0 {
 		n.subs.confirm(m.Age)
 	}
-	if n.subs.recordBehind(c, behind) {
+	if n.subs.recordBehind(c, own, shown, n.d.Config.inForceShare(lagShare)) {
 		n.notify(c, &notice{Subscribe: true, Version: n.Version()})
 	}
 }
@@ -174,7 +177,7 @@
 
 // requestState requests the state of another daemon if neither the store nor a parent has delivered it for a while.
 func (n *Node) requestState() {
-	if time.Since(n.started) < followerMaxAge || n.subs.age() < followerMaxAge {
+	if d := n.d.Config.followerMaxAge(); time.Since(n.started) < d || n.subs.age() < d {
 		return
 	}
 	n.mu.Lock()
--- a/mesh/storeloop.go
+++ b/mesh/storeloop.go
@@ -58,12 +58,13 @@
 		switch {
 		case err == nil:
 			failures, historyLost = 0, false
-			n.recordStoreResult(nil)
 		case errors.Is(err, store.ErrCompacted):
 			n.d.Log.Emit(event.HistoryLost, "Error", err)
 			n.observeEra(n.d.Store.Era())
 			failures, historyLost = 0, true // the store is available
-			n.awaitConfirmation(time.Now().Add(historyLostWait))
+			// The parents may read the whole state first. If all daemons of a region read it at once, they saturate
+			// the link to the store for seconds.
+			n.awaitConfirmation(time.Now().Add(maxBackoff + n.d.Config.confirmInterval()))
 		default:
 			failures++
 			n.recordStoreResult(err)
@@ -131,10 +132,6 @@
 	}
 }
 
-// historyLostWait is how long a daemon that has to read the whole state waits for its parents to read it first. When
-// all daemons of a region read it at once, they saturate the link to the store for seconds.
-const historyLostWait = maxBackoff + confirmInterval
-
 const (
 	// staleRetryInterval is the time between two reads of a daemon that finds no other at its start. Such a read
 	// may be outdated by seconds, and costs a tenth of a usual one.
@@ -174,25 +171,24 @@
 	return true
 }
 
-// stateAge returns the age of the daemon's state, and whether it is recent enough for others to rely on.
+// stateAge returns the age of the daemon's state, and whether it is recent enough for others to rely on. While a watch
+// waits, the state ages too: the store may have stopped answering it.
 func (n *Node) stateAge() (time.Duration, bool) {
-	last := time.Unix(0, n.lastStoreReply.Load())
-	if n.readsStore.Load() && n.storeReachable.Load() && time.Since(last) < n.d.Config.WatchWait()+watchReplyMargin {
-		return 0, true
-	}
 	age := n.subs.age()
-	return age, age < followerMaxAge
+	if n.readsStore.Load() && n.storeReachable.Load() {
+		age = min(age, time.Since(time.Unix(0, n.lastStoreReply.Load())))
+	}
+	return age, age < n.d.Config.followerMaxAge()
 }
 
-// watchReplyMargin is how late the reply to a watch may arrive after its wait.
-const watchReplyMargin = 500 * time.Millisecond
-
-// recordStoreResult records the result of a store call, and logs when the store is lost or regained.
+// recordStoreResult records the result of a store call whose changes are applied, and logs when the store is lost or
+// regained.
 func (n *Node) recordStoreResult(err error) {
 	ok := err == nil
 	if ok {
 		n.readsStore.Store(true)
 		n.lastStoreReply.Store(time.Now().UnixNano())
+		n.subs.recordCurrent()
 	}
 	if n.storeReachable.Swap(ok) == ok {
 		return
@@ -227,6 +223,7 @@
 	m := &notice{Peers: n.peers.all(""), Gone: gone, Full: true, UpToDate: true, Version: n.Version()}
 	m.setPosition(after)
 	n.notifyFollowers(m)
+	n.recordStoreResult(nil)
 	after.Revision = max(1, after.Revision)
 	return after, nil
 }
@@ -257,6 +254,7 @@
 	n.stateMu.Lock()
 	defer n.stateMu.Unlock()
 	n.watched = after.Later(next)
+	n.recordStoreResult(nil)
 	return n.watched, longWait, nil
 }
 
@@ -291,6 +289,7 @@
 	m.Version = n.Version()
 	m.setPosition(n.asOf)
 	n.notifyFollowers(m)
+	n.recordStoreResult(nil)
 }
 
 // waitForBatch waits for further changes, unless another daemon has a newer configuration.
--- a/mesh/subscriptions.go
+++ b/mesh/subscriptions.go
@@ -7,21 +7,14 @@
 
 	"github.com/marjoramcroft/marjoramcroft/ident"
 	"github.com/marjoramcroft/marjoramcroft/link"
+	"github.com/marjoramcroft/marjoramcroft/store"
 )
 
 const (
-	// confirmInterval is how often a daemon tells its followers how current its state is.
-	confirmInterval = 400 * time.Millisecond
-	// relayMaxAge is the age of the last confirmation after which a relay reads the store itself. More than
-	// half of the shortest time is left in which a configuration must be in force (2.5 s).
-	relayMaxAge = 1200 * time.Millisecond
-	// followerMaxAge is the same for a follower. It is longer, so that the relays of its data centre read the
-	// store first and confirm their state to it.
-	followerMaxAge = 1600 * time.Millisecond
-	// unavailableMaxAge is the same for a follower whose parents are there, but do not reach the store either.
-	unavailableMaxAge = 2800 * time.Millisecond
-	// parentTimeout is the silence after which a parent counts as gone; some confirmations may be late or lost.
-	parentTimeout = 4 * confirmInterval
+	// minAdvance is by how much the state must be more recent than in the last confirmation for the next to be sent at
+	// once. It is more than the delay of links and VMs, by which a confirmation seems more recent at its receiver, so that
+	// daemons that follow each other do not answer one with another.
+	minAdvance = 200 * time.Millisecond
 	// behindTimeout is how long the first parent may lack changes that another one has.
 	behindTimeout = 600 * time.Millisecond
 	// planInterval is how often a daemon checks which daemons it follows.
@@ -36,8 +29,22 @@
 	brief  bool      // the other daemon sends only confirmations
 	full   bool      // the other daemon has sent its full state
 	notice time.Time // when its last notice arrived
-	// behindSince is when a confirmation first showed that this daemon's state lacks changes; zero: it does not.
+	// current is when its state was that of the store by its confirmations, at first when it was followed.
+	current time.Time
+	// behindSince is when a confirmation first showed that this daemon's state lacks lacked; zero: it lacks nothing.
 	behindSince time.Time
+	lacked      progress
+}
+
+// progress tells up to what a daemon has the state of the store.
+type progress struct {
+	position store.Position
+	version  ident.Version
+}
+
+// lacks reports whether other has something that p has not.
+func (p progress) lacks(other progress) bool {
+	return other.position.After(p.position) || other.version > p.version
 }
 
 // subscriptions tracks the daemons that this daemon follows and the daemons that follow it.
@@ -50,6 +57,8 @@
 	confirmed time.Time                // the state is that of the store at this time; zero: no parent is left
 	current   time.Time                // the latest value of confirmed
 	lost      chan struct{}            // signals that the last link to a parent is gone
+	told      time.Time                // the state was that of the store at this time by the last confirmation sent
+	advanced  chan struct{}            // signals that the state is more recent than told by minAdvance
 
 	plan       syncPlan
 	planOf     uint64    // generation of the peer list for which plan was made
@@ -59,7 +68,7 @@
 func newSubscriptions() *subscriptions {
 	return &subscriptions{
 		following: map[*link.Conn]*subscription{}, opening: map[ident.Addr]bool{}, followers: map[*link.Conn]bool{},
-		avoid: map[ident.Addr]time.Time{}, lost: make(chan struct{}, 1),
+		avoid: map[ident.Addr]time.Time{}, lost: make(chan struct{}, 1), advanced: make(chan struct{}, 1),
 	}
 }
 
@@ -88,18 +97,23 @@
 	return sub.full
 }
 
-// recordBehind records whether a confirmation over c shows that this daemon's state lacks changes, and reports
-// whether that has been so for behindTimeout. The parent is then asked for its state.
-func (s *subscriptions) recordBehind(c *link.Conn, behind bool) bool {
+// recordBehind records whether a confirmation over c shows that this daemon's state, own, lacks changes, and reports
+// whether it has lacked the same for behindTimeout, or the first parent's state is older than lag. The parent is then
+// asked for its state.
+func (s *subscriptions) recordBehind(c *link.Conn, own, shown progress, lag time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	sub := s.following[c]
 	switch now := time.Now(); {
 	case sub == nil || !sub.brief:
-	case !behind:
+	case !own.lacks(shown):
 		sub.behindSince = time.Time{}
-	case sub.behindSince.IsZero():
-		sub.behindSince = now
+	case s.firstParentLags(lag):
+		sub.brief, sub.behindSince = false, time.Time{}
+		return true
+	case sub.behindSince.IsZero() || !own.lacks(sub.lacked):
+		// A confirmation follows each change at once, often before the first parent has sent the change.
+		sub.behindSince, sub.lacked = now, shown
 	case now.Sub(sub.behindSince) > behindTimeout:
 		sub.brief, sub.behindSince = false, time.Time{}
 		return true
@@ -107,12 +121,57 @@
 	return false
 }
 
+// firstParentLags reports whether the parents that send what changes have had no state younger than lag. The caller
+// holds s.mu.
+func (s *subscriptions) firstParentLags(lag time.Duration) bool {
+	lags := false
+	for _, sub := range s.following {
+		if sub.brief {
+			continue
+		}
+		if time.Since(sub.current) <= lag {
+			return false
+		}
+		lags = true
+	}
+	return lags
+}
+
+// recordAge records that the state of the daemon over c was that of the store age ago.
+func (s *subscriptions) recordAge(c *link.Conn, age time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if sub, at := s.following[c], time.Now().Add(-age); sub != nil && at.After(sub.current) {
+		sub.current = at
+	}
+}
+
 // confirm records that the state was that of the store age ago.
 func (s *subscriptions) confirm(age time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if at := time.Now().Add(-age); at.After(s.confirmed) {
 		s.confirmed, s.current = at, at
+		s.advance(at)
+	}
+}
+
+// recordCurrent records that the state is that of the store.
+func (s *subscriptions) recordCurrent() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.advance(time.Now())
+}
+
+// advance has the followers told at once that the state was that of the store at this time, unless they know nearly as
+// much. The caller holds s.mu.
+func (s *subscriptions) advance(at time.Time) {
+	if at.Sub(s.told) < minAdvance {
+		return
+	}
+	select {
+	case s.advanced <- struct{}{}:
+	default:
 	}
 }
 
@@ -175,27 +234,12 @@
 	s.avoid[a], s.planExpiry = time.Now().Add(avoidTime), time.Time{}
 }
 
-// maxStateAge returns the age of the last confirmation after which this daemon reads the store itself.
-func (n *Node) maxStateAge() time.Duration {
-	switch n.syncPlan().tier {
-	case root:
-		return 0
-	case relay:
-		return relayMaxAge
-	default:
-		if n.subs.hasParent() {
-			return unavailableMaxAge
-		}
-		return followerMaxAge
-	}
-}
-
-// hasParent reports whether a followed daemon has sent a notice lately.
-func (s *subscriptions) hasParent() bool {
+// hasParent reports whether a followed daemon has sent a notice in the last d.
+func (s *subscriptions) hasParent(d time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, sub := range s.following {
-		if sub.full && time.Since(sub.notice) < 2*confirmInterval {
+		if sub.full && time.Since(sub.notice) < d {
 			return true
 		}
 	}
@@ -203,11 +247,15 @@
 }
 
 // confirmationLeft returns how much longer this daemon relies on its parents; zero if it has to read the store.
-func (n *Node) confirmationLeft() time.Duration { return max(0, n.maxStateAge()-n.subs.age()) }
+func (n *Node) confirmationLeft() time.Duration {
+	c := n.d.Config
+	limit := c.maxStateAge(n.syncPlan(), n.subs.hasParent(2*c.confirmInterval()))
+	return max(0, limit-n.subs.age())
+}
 
 // maintainSubscriptions keeps links to the parents open, and tells followers how current this daemon's state is.
 func (n *Node) maintainSubscriptions() {
-	check, confirm := time.NewTicker(planInterval), time.NewTicker(confirmInterval)
+	check, confirm := time.NewTicker(planInterval), time.NewTicker(n.d.Config.confirmInterval())
 	defer check.Stop()
 	defer confirm.Stop()
 	for {
@@ -216,20 +264,26 @@
 			return
 		case <-check.C:
 			n.followParents(n.syncPlan())
+		case <-n.subs.advanced:
+			confirm.Reset(n.d.Config.confirmInterval())
+			n.confirmState()
 		case <-confirm.C:
-			n.stateMu.Lock()
-			n.confirmFollowers()
-			n.stateMu.Unlock()
-			if _, ok := n.stateAge(); ok { // else the store may have entries that this daemon does not know
-				n.peers.removeMissing(time.Now())
-			}
-			if n.Version() == 0 {
-				n.requestState()
-			}
+			n.confirmState()
 		}
 	}
 }
 
+// confirmState tells followers how current this daemon's state is, and does what depends on that.
+func (n *Node) confirmState() {
+	n.confirmFollowers()
+	if _, ok := n.stateAge(); ok { // else the store may have entries that this daemon does not know
+		n.peers.removeMissing(time.Now())
+	}
+	if n.Version() == 0 {
+		n.requestState()
+	}
+}
+
 // followParents subscribes to the daemons of plan and leaves others.
 func (n *Node) followParents(plan syncPlan) {
 	s := n.subs
@@ -241,7 +295,7 @@
 	for c, sub := range s.following {
 		subscribed[sub.addr] = true
 		hasFullParent = hasFullParent || (sub.full && slices.Contains(plan.parents, sub.addr))
-		if now.Sub(sub.notice) > parentTimeout {
+		if now.Sub(sub.notice) > n.d.Config.inForceShare(parentShare) {
 			c.MarkSilent()
 			delete(s.following, c)
 			s.avoid[sub.addr], s.planExpiry = now.Add(avoidTime), time.Time{}
@@ -285,7 +339,8 @@
 	s.mu.Lock()
 	delete(s.opening, a)
 	if err == nil {
-		s.following[c] = &subscription{addr: a, brief: brief, notice: time.Now()}
+		now := time.Now()
+		s.following[c] = &subscription{addr: a, brief: brief, notice: now, current: now}
 	}
 	s.mu.Unlock()
 	if err != nil {
--- a/mesh/syncplan.go
+++ b/mesh/syncplan.go
@@ -35,6 +35,7 @@
 // the others only confirm how current its state is, until they have something that the first one has not sent.
 type syncPlan struct {
 	tier    tier
+	second  bool         // a relay whose first parent is another relay
 	parents []ident.Addr // none for a root
 }
 
@@ -68,7 +69,10 @@
 		return syncPlan{tier: relay, parents: addrs(roots)}
 	case contains(relays, self.Addr) || contains(standby, self.Addr):
 		// One copy of a change is enough for a data centre.
-		return syncPlan{tier: relay, parents: append(addrs(relays[:1]), addrs(without(roots, relays[0].Addr))...)}
+		return syncPlan{
+			tier: relay, second: !contains(roots, relays[0].Addr),
+			parents: append(addrs(relays[:1]), addrs(without(roots, relays[0].Addr))...),
+		}
 	}
 	// Each relay feeds half of the followers.
 	parents, _ := takeTop(relays, len(relays), string(self.Addr))
