mesh: Limit watches in the test cluster as the platform does

Cause of TestStoreOutages (KNOWN-RED, case "silent", "not within 8 s: new configuration"): the store client of the test cluster had the default WatchPeriod of a minute, the platform's has WatchWait + 0.6 s. The emulated store, like a silent one, never answers a call that began in the outage. A watch that was sent again before the outage ended hung for the minute, and both daemons are roots, which ask nobody else. It depended on the phase of the watch, so it showed rarely; a busy machine makes the outage in the test longer. The product was not affected.

Change: the test cluster has the platform's limit. No bound of the test changes.

--- a/mesh/cluster_test.go
+++ b/mesh/cluster_test.go
@@ -82,6 +82,8 @@
 	sc.Budget, sc.Budgets = store.Budget{Reads: 1000, ReadBurst: 1000, Writes: 1000, WriteBurst: 1000}, nil
 	sc.Attempts, sc.Timeout, sc.OpenFor = 1, 300*time.Millisecond, 50*time.Millisecond
 	cfg := DefaultConfig()
+	// As on the platform: a watch that is sent while the store is silent hangs until then.
+	sc.WatchPeriod = cfg.WatchWait() + 600*time.Millisecond
 	cfg.BootstrapWait, cfg.RegisterWait = 500*time.Millisecond, 0
 	cfg.Retries = retry.SharedBudgetLimits{Ratio: 1, Slack: 100, Window: time.Second}
 	n.Node = New(Deps{
--- a/mesh/store_test.go
+++ b/mesh/store_test.go
@@ -17,6 +17,10 @@
 	tests := map[string]func(r *testCluster){
 		"rejecting": func(r *testCluster) { r.store.SetOutage(emul.Rejecting) },
 		"silent":    func(r *testCluster) { r.store.SetOutage(emul.Silent) },
+		"silent when watches are sent again": func(r *testCluster) {
+			r.store.SetOutage(emul.Silent)
+			time.Sleep(DefaultConfig().WatchWait() + 200*time.Millisecond)
+		},
 	}
 	for name, begin := range tests {
 		t.Run(name, func(t *testing.T) {
