emul: Name the broken connections of a load

TestClusterKeepsInvariantsUnderFaults failed once with "21 connections of callers broke" and "7 connections of callers broke", without a word on the calls and their errors, so that neither a dial that timed out nor a cut answer could be told from the other.

A report now describes the first 30 of them: the call, its entry, its planned time, its latency and the error. The test and the demonstration print them. The bounds are unchanged. TestLoadIsOpenLoop checks that the error is named.

--- a/demo/fault_test.go
+++ b/demo/fault_test.go
@@ -268,7 +268,7 @@
 		tc.t.Error(b)
 	}
 	if rep.Broken > 0 && !connsMayBreak {
-		tc.t.Errorf("%d connections of callers broke", rep.Broken)
+		tc.t.Errorf("%d connections of callers broke, such as:\n%s", rep.Broken, strings.Join(rep.BrokenCalls, "\n"))
 	}
 	var out strings.Builder
 	tc.must(rep.Write(&out))
--- a/demo/run.go
+++ b/demo/run.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"strings"
 	"sync"
 	"time"
 
@@ -138,7 +139,7 @@
 		out = append(out, fmt.Sprintf("correction in force after %s, target %s", r.CorrectionLatency, maxPropagation))
 	}
 	if r.Load.Broken > 0 {
-		out = append(out, fmt.Sprintf("%d connections of callers broke", r.Load.Broken))
+		out = append(out, fmt.Sprintf("%d connections of callers broke, such as: %s", r.Load.Broken, strings.Join(r.Load.BrokenCalls, "; ")))
 	}
 	return out
 }
--- a/emul/load_test.go
+++ b/emul/load_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -103,7 +104,9 @@
 		r, err := l.Run(t.Context())
 		is.NoErr(err)
 		is.Equal(r.Broken, r.Sent)
-		is.True(r.Sent > 1700 && r.Sent < 2100) // 9 s at 100/s and 1 s at 1,000/s, with the random deviation
+		is.Equal(len(r.BrokenCalls), maxBrokenCalls)
+		is.True(strings.Contains(r.BrokenCalls[0], net.ErrClosed.Error())) // the error is named
+		is.True(r.Sent > 1700 && r.Sent < 2100)                            // 9 s at 100/s and 1 s at 1,000/s, with the random deviation
 		is.Equal(r.Unsent, 0)
 	})
 }
--- a/emul/loadreport.go
+++ b/emul/loadreport.go
@@ -14,12 +14,16 @@
 // maxLatency is the highest latency that the histograms can record.
 const maxLatency = 10 * time.Minute
 
+// maxBrokenCalls limits the calls that a report names.
+const maxBrokenCalls = 30
+
 // tally counts the outcomes of a Load.
 type tally struct {
 	short, long *hdrhistogram.Histogram // of answers, in µs
 	statuses    map[int]int
 	refusals    map[string]int
 	broken      int
+	brokenCalls []string
 	unconnected int
 	foreign     int
 	good        int
@@ -44,6 +48,9 @@
 		return
 	case o.err != nil:
 		t.broken++
+		if len(t.brokenCalls) < maxBrokenCalls {
+			t.brokenCalls = append(t.brokenCalls, s.describeBreak())
+		}
 		return
 	case o.refusal != nil:
 		t.refusals[string(o.refusal.Reason)+"."+string(o.refusal.Ran)]++
@@ -64,6 +71,12 @@
 	_ = h.RecordValue(min(o.latency, maxLatency).Microseconds())
 }
 
+// describeBreak returns the call and the error of its connection in one line.
+func (s *send) describeBreak() string {
+	return fmt.Sprintf("call %s, %s %s at %s, planned at %s, after %s: %v", s.id, s.kind.Method, s.kind.Path, s.entry,
+		s.planned.Format("15:04:05.000"), s.outcome.latency.Round(time.Millisecond), s.outcome.err)
+}
+
 // Latency summarises the latency of answers, from the planned time of the call to the end
 // of its answer.
 type Latency struct {
@@ -94,6 +107,8 @@
 	Answers  map[int]int    // by status
 	Refusals map[string]int // by REASON.RAN
 	Broken   int            // connections that broke without a complete answer
+	// BrokenCalls describes the first of those calls, with the errors of their connections.
+	BrokenCalls []string
 	// Unconnected counts the sends whose connection was refused; nothing of them was sent.
 	Unconnected int
 	Foreign     int     // answers that belong to another call
@@ -109,7 +124,7 @@
 	return Report{
 		Seed: l.cfg.Seed, Took: took, Sent: len(l.sends), Repeats: t.repeats, Unsent: t.unsent,
 		Answers: maps.Clone(t.statuses), Refusals: maps.Clone(t.refusals), Broken: t.broken,
-		Unconnected: t.unconnected, Foreign: t.foreign,
+		BrokenCalls: slices.Clone(t.brokenCalls), Unconnected: t.unconnected, Foreign: t.foreign,
 		Goodput: float64(t.good) / took.Seconds(), Short: latencyOf(t.short), Long: latencyOf(t.long),
 	}
 }
@@ -127,6 +142,9 @@
 	for _, name := range slices.Sorted(maps.Keys(r.Refusals)) {
 		lines = append(lines, fmt.Sprintf("refused %s: %d", name, r.Refusals[name]))
 	}
+	for _, c := range r.BrokenCalls {
+		lines = append(lines, "broken: "+c)
+	}
 	lines = append(lines, "short: "+r.Short.String(), "long: "+r.Long.String())
 	for _, s := range lines {
 		if _, err := fmt.Fprintln(w, s); err != nil {
