cmd/marjoramcroftd: Print the statuses when a freeze test gives up

TestFrozenKeeperDoesNoHarm waited once for some 3 minutes until the limit of the test run, which prints nothing but stacks: whether a daemon had ended or no keeper was elected could not be told. The status request had no timeout either, so that one hanging daemon would have looked the same.

The test now gives up 20 s before the limit of the run and prints the status and the output of each daemon and how its process ended. A status that takes 30 s fails the test by its own message. The ports are reserved on an address of the process: freeAddr closes its listener before the daemon listens, and on 127.0.0.1 another test may take the port in between.

--- a/cmd/marjoramcroftd/freeze_test.go
+++ b/cmd/marjoramcroftd/freeze_test.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -31,6 +33,13 @@
 	capUnits    = 6 // cap of the member in concurrent calls
 	// freezeDuration is longer than the keeper's lease of 15 s.
 	freezeDuration = 17 * time.Second
+	// statusTimeout limits the time in which a daemon that is not frozen answers.
+	statusTimeout = 30 * time.Second
+	// giveUpBefore is the time before the limit of the test run at which the test gives up, since
+	// nothing but the stacks of its goroutines is printed at the limit. It covers a status of each
+	// daemon with lastStatusTimeout.
+	giveUpBefore      = 20 * time.Second
+	lastStatusTimeout = 3 * time.Second
 )
 
 // cluster is a service with one daemon process beside each of its backend servers.
@@ -39,6 +48,7 @@
 	store       *httptest.Server
 	acceptor    *accept.Acceptor
 	processes   []*exec.Cmd
+	outputs     []*bytes.Buffer // of the processes; complete once they have ended
 	daemonAddrs []ident.Addr
 	backends    []*emul.Backend
 
@@ -81,8 +91,10 @@
 	cmd := exec.Command(binary, "-listen.http", addr, "-listen.control", freeAddr(c.t), "-log.level", "error",
 		"-place.region", "region", "-place.datacentre", fmt.Sprintf("dc-%d", i/2),
 		"-store.region", "region", "-store.endpoint", c.store.URL)
+	output := &bytes.Buffer{}
+	cmd.Stdout, cmd.Stderr = output, output
 	c.requireNoError(cmd.Start())
-	c.processes = append(c.processes, cmd)
+	c.processes, c.outputs = append(c.processes, cmd), append(c.outputs, output)
 	c.daemonAddrs = append(c.daemonAddrs, ident.Addr(addr))
 	c.t.Cleanup(func() {
 		_ = cmd.Process.Signal(syscall.SIGCONT)
@@ -91,16 +103,17 @@
 	})
 	cfg := emul.DefaultBackend()
 	cfg.Service, cfg.Announce, cfg.Seed, cfg.ShortTime = "bookings", ident.Addr(addr), uint64(i), 20*time.Millisecond
-	cfg.Observe = c.countRunning
+	cfg.Addr, cfg.Observe = net.JoinHostPort(emul.LoopbackHost(), "0"), c.countRunning
 	b := emul.NewBackend(cfg)
 	c.requireNoError(b.Start())
 	c.backends = append(c.backends, b)
 	c.t.Cleanup(func() { _ = b.Close() })
 }
 
-// freeAddr returns a local address that no process listens on.
+// freeAddr returns a local address that no process listens on. No other test takes the port before the
+// daemon listens, as tests on 127.0.0.1 might.
 func freeAddr(t *testing.T) string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := net.Listen("tcp", net.JoinHostPort(emul.LoopbackHost(), "0"))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -130,9 +143,18 @@
 	c.requireNoError(err)
 }
 
-func (c *cluster) status(i int) (admin.Status, error) {
+func (c *cluster) status(ctx context.Context, i int, timeout time.Duration) (admin.Status, error) {
 	var st admin.Status
-	resp, err := http.Get("http://" + string(c.daemonAddrs[i]) + admin.Prefix + "status")
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+string(c.daemonAddrs[i])+admin.Prefix+"status", http.NoBody)
+	if err != nil {
+		return st, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if errors.Is(err, context.DeadlineExceeded) {
+		c.t.Errorf("daemon %d has not answered: %v", i, err)
+	}
 	if err != nil {
 		return st, err
 	}
@@ -141,12 +163,19 @@
 }
 
 // waitReady waits until all daemons are ready with at least version and one of them is the keeper. It returns
-// the index of the keeper, or -1 if the test ends first.
+// the index of the keeper. If the limit of the test run is near, it prints the statuses and fails the test.
 func (c *cluster) waitReady(version ident.Version) int {
-	for c.t.Context().Err() == nil {
+	c.t.Helper()
+	ctx := c.t.Context()
+	if limit, ok := c.t.Deadline(); ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, limit.Add(-giveUpBefore))
+		defer cancel()
+	}
+	for ctx.Err() == nil {
 		keeper, ready := -1, 0
 		for i := range daemonCount {
-			st, err := c.status(i)
+			st, err := c.status(ctx, i, statusTimeout)
 			if err != nil || !st.Ready || st.Version < version {
 				continue
 			}
@@ -160,9 +189,21 @@
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
+	c.logStatuses()
+	c.t.Fatal("not all daemons are ready, or none is the keeper")
 	return -1
 }
 
+// logStatuses prints the status and the output of each daemon and ends their processes.
+func (c *cluster) logStatuses() {
+	for i, cmd := range c.processes {
+		st, err := c.status(c.t.Context(), i, lastStatusTimeout)
+		_ = cmd.Process.Signal(syscall.SIGCONT)
+		_ = cmd.Process.Kill()
+		c.t.Logf("daemon %d: %+v, error %v, process ended with %v, output:\n%s", i, st, err, cmd.Wait(), c.outputs[i])
+	}
+}
+
 // TestFrozenKeeperDoesNoHarm guards against a process that acts on leases that expired while it was frozen. It
 // freezes the keeper of a service, which is also a holder, for longer than its lease while demand is above the
 // cap.
@@ -200,7 +241,5 @@
 		t.Error("no call was answered")
 	}
 	t.Logf("%+v", report)
-	if i := c.waitReady(1); i < 0 {
-		t.Error("no keeper after the freeze")
-	}
+	c.waitReady(1)
 }
