origin: Keep no connection whose request was cancelled

Callers saw 502 for a request that had no fault of its own: it was written to a connection that was closed while its backend server was at work.

The end of a request's context closes its connection in a goroutine of its own. If the context ended just as the answer arrived, as it does for the other attempt of a hedged call, the exchange succeeded, the connection went back to the pool and another request could take it before the close ran.

An exchange now asks whether its context has ended, and if so its answer still counts but the connection is not kept.

--- a/origin/conn.go
+++ b/origin/conn.go
@@ -59,10 +59,18 @@
 	return c.nc.SetReadDeadline(time.Time{}) == nil
 }
 
-// exchange sends r and reads its response.
+// exchange sends r and reads its response. If ctx ends as the answer arrives, the connection may be used no further, as
+// its close may come late.
 func (c *conn) exchange(ctx context.Context, r *Request, n Names) (*Response, error) {
 	stop := context.AfterFunc(ctx, c.close)
-	defer stop()
+	resp, err := c.roundTrip(r, n)
+	if !stop() && err == nil {
+		resp.idleTimeout = 0
+	}
+	return resp, err
+}
+
+func (c *conn) roundTrip(r *Request, n Names) (*Response, error) {
 	c.carried.add(r.ID)
 	// If setting the deadline fails, the next read or write fails as well.
 	_ = c.nc.SetDeadline(r.Deadline.Add(deadlineGrace))
