link: Report no lost notice on a connection that ends

A stopping daemon could close a link in full while it was still waiting for the other daemon to read everything. A full close resets the connection if bytes arrive, and the other daemon loses the answers that it has not read: its callers get 502.

Shutdown closes the sending side and waits for the other daemon. Notices could not be queued from then on, and sendFollowers takes that for a follower that does not read, which it disconnects. Changes do arrive then: the daemon removes its own entry from the store at the same time, and other daemons go on sending their states.

TestNoticeOverEndingLink sends a confirmation over a link that is shut down; before the change the link was closed at once. Notify now reports a lost notice only if the connection goes on: on one that ends, the other daemon learns by that end that it has to subscribe again. The result of Node.notify, which nobody used, is gone.

--- a/link/conn.go
+++ b/link/conn.go
@@ -247,8 +247,18 @@
 	c.queueReady.Signal()
 }
 
-// Notify queues a notice, and reports false if it is lost because the connection is closed or its queue is full.
-func (c *Conn) Notify(body []byte) bool { return c.enqueue(frame{Kind: kindNotice, Body: body}, 0) }
+// Notify queues a notice. It reports false if the notice is lost although the connection goes on, because the queue is full
+// or the notice exceeds the frame size. On a connection that has ended for the sender, a notice is lost without a report.
+func (c *Conn) Notify(body []byte) bool {
+	return c.enqueue(frame{Kind: kindNotice, Body: body}, 0) || c.sendingEnded()
+}
+
+// sendingEnded reports whether nothing more can be sent. The other daemon learns that by the end of the connection.
+func (c *Conn) sendingEnded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closed || c.end.halfClosed
+}
 
 // enqueue queues f for writing. It reports false if the connection is closed or closing, its queue is full or f is too
 // large. A connection that either daemon is ending takes no calls, and nothing at all once its sending side is closed.
--- a/mesh/gossip.go
+++ b/mesh/gossip.go
@@ -15,14 +15,14 @@
 	n.notify(c, &notice{Self: &self, Version: n.Version()})
 }
 
-// notify sends m over c, and reports whether it could be queued.
-func (n *Node) notify(c *link.Conn, m *notice) bool {
+// notify sends m over c. It may be lost.
+func (n *Node) notify(c *link.Conn, m *notice) {
 	b, err := m.encode()
 	if err != nil {
 		n.d.Log.Emit(event.CallUnencodable, "Error", err)
-		return false
+		return
 	}
-	return c.Notify(b)
+	c.Notify(b)
 }
 
 // handleNotice applies a notice from another daemon.
--- a/mesh/links_test.go
+++ b/mesh/links_test.go
@@ -128,3 +128,37 @@
 	is.Equal(r.Outcome, rejected)
 	is.Equal(r.Reason, refuse.QueueFull)
 }
+
+// TestNoticeOverEndingLink guards against a link that is closed before the other daemon has read all, and is reset with the
+// answers on it, because a change arrives while a stop awaits the end of the link.
+func TestNoticeOverEndingLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := New(Deps{Config: DefaultConfig(), Log: event.Discard(), Stats: stats.New()})
+		network := emul.NewNetwork()
+		var c *link.Conn
+		network.Listen("node", here, func(nc net.Conn) {
+			c = link.New(nc, n.handlers())
+			go n.serveLink(c)
+		})
+		network.Listen("other", here, func(net.Conn) {})
+		nc, err := network.Dial(t.Context(), "other", "node")
+		is.NoErr(err)
+		n.subs.followers[c] = false
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			c.Shutdown(t.Context())
+		}()
+		time.Sleep(time.Second)
+		n.confirmFollowers()
+		time.Sleep(time.Second)
+		select {
+		case <-ended:
+			t.Error("closed before the other daemon has closed")
+		default:
+		}
+		is.NoErr(nc.Close())
+		<-ended
+	})
+}
