mesh: Send no call that begins after the end of calls

With a grace time of less than 3.4 s, callers saw 502 for requests that a stopping daemon had taken after the end of its calls: each was sent to a backend server, which began to work on it, and cut at once.

EndCalls ends a call by its context, which a goroutine of its own cancels. A call that begins later was not told apart and made its first attempt before that. With a longer grace time the platform's handler refuses such requests itself.

Such a call is now refused as not run before its route is sought.

--- a/mesh/entry.go
+++ b/mesh/entry.go
@@ -31,9 +31,17 @@
 	n.endCalls()
 }
 
+// refusedAtEnd returns the answer to a call that has not run when EndCalls is called, or later.
+func (n *Node) refusedAtEnd() *Answer {
+	return refused(refuse.Draining, "the daemon stopped before a backend server took the call", time.Duration(n.retryAfterEnd.Load()))
+}
+
 // resolve finds the route of a call. The answer is non-nil if the call cannot be sent to any server.
 func (n *Node) resolve(c *Call) (*pendingCall, *Answer) {
 	p := &pendingCall{n: n, c: c}
+	if n.calls.Err() != nil {
+		return p, n.refusedAtEnd()
+	}
 	t := n.table.Load()
 	if t == nil {
 		return p, refused(refuse.NoAgreement, "no configuration yet", noConfigRetry)
--- a/mesh/settle.go
+++ b/mesh/settle.go
@@ -139,7 +139,7 @@
 	case p.maybeRan:
 		return &Answer{Refusal: refuse.New(refuse.AnswerLost, refuse.RanUnknown, "no answer of a backend server")}
 	case stopping:
-		return refused(refuse.Draining, "the daemon stopped before a backend server took the call", time.Duration(p.n.retryAfterEnd.Load()))
+		return p.n.refusedAtEnd()
 	case p.refusal == nil:
 		p.refusal = refuse.NotRun(refuse.NoServer, "no backend server took the call")
 	}
--- a/mesh/stop_test.go
+++ b/mesh/stop_test.go
@@ -153,3 +153,19 @@
 	is.Equal(unknown.Load(), int32(0))
 	is.Equal(ran.Load(), b.backend.total.Load())
 }
+
+// TestCallAfterEndCalls guards against a call that is sent although all calls have been ended, and is cut at the backend
+// server at once.
+func TestCallAfterEndCalls(t *testing.T) {
+	is := is.New(t)
+	_, a, b := twoNodes(t)
+	a.waitForServers(t, "s", 2)
+	a.EndCalls(time.Second)
+	for range 200 {
+		ans := a.call(t.Context(), "/s/buy/")
+		is.True(ans.Refusal != nil)
+		is.Equal(ans.Refusal.Ran, refuse.RanNo)
+		is.Equal(ans.RetryAfter, time.Second)
+	}
+	is.Equal(a.backend.total.Load()+b.backend.total.Load(), int32(0))
+}
