mesh: Keep a silent link until its calls have ended

Callers of routes that take more than 10 s saw 502 for requests whose backend server was at work and whose daemon had been slow once.

A link that was silent while calls waited stays marked, and the next call opens another one. The old link was closed 10 s later, also if the daemon had long been back and calls waited on it; the other daemon then cut them at its backend server.

A replaced link is now closed only when no call waits on it, which the deadlines of calls bound.

--- a/mesh/links.go
+++ b/mesh/links.go
@@ -27,7 +27,7 @@
 	// quotaStop is the longest time for which a processor quota stops a daemon that works. A ping may take as long,
 	// and two round trips.
 	quotaStop = 100 * time.Millisecond
-	// silentLinkGrace is how long a silent link stays open for calls that still wait for their answers.
+	// silentLinkGrace is the time after which a silent link that has been replaced is closed, if no call waits on it.
 	silentLinkGrace = 10 * time.Second
 )
 
@@ -96,7 +96,7 @@
 	n.links.mu.Lock()
 	o := n.links.open[addr]
 	if o != nil && o.conn != nil && o.conn.Silent() {
-		time.AfterFunc(silentLinkGrace, o.conn.Close)
+		closeUnused(o.conn)
 		o = nil
 	}
 	if o == nil {
@@ -116,6 +116,18 @@
 	return o.conn, nil
 }
 
+// closeUnused closes a silent link after silentLinkGrace, or later if calls still wait on it: the other daemon may only have
+// been slow, and may have calls that take long.
+func closeUnused(c *link.Conn) {
+	time.AfterFunc(silentLinkGrace, func() {
+		if c.Waiting() > 0 {
+			closeUnused(c)
+			return
+		}
+		c.Close()
+	})
+}
+
 // dial opens the link of o and serves it until it is closed.
 func (n *Node) dial(addr ident.Addr, o *pendingLink) {
 	ctx, cancel := context.WithTimeout(n.ctx, linkDialTimeout)
--- a/mesh/silence_test.go
+++ b/mesh/silence_test.go
@@ -64,6 +64,9 @@
 	spec := table.Spec{Version: 1, Services: []table.Service{{ID: "s"}}, Routes: []table.Route{{
 		ID: "get", Host: "h", Prefix: "/s/", Idempotent: true, Parts: []table.WeightedService{{Service: "s", Weight: 1}},
 		Timeout: 10 * time.Second, Goal: time.Second, Attempts: attempts,
+	}, {
+		ID: "long", Host: "h", Prefix: "/long/", Parts: []table.WeightedService{{Service: "s", Weight: 1}},
+		Timeout: time.Minute, Goal: time.Minute, Attempts: 1,
 	}}}
 	b, err := json.Marshal(spec)
 	is.NoErr(err)
@@ -182,3 +185,25 @@
 		})
 	}
 }
+
+// TestLongCallOverSilentLink guards against a link that is closed with a call on it, for which the backend server still
+// works, because it was silent once and another one has replaced it.
+func TestLongCallOverSilentLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newMemoryCluster(t, 1, 1, retry.SharedBudgetLimits{}, 20*time.Second)
+		answer := make(chan *Answer, 1)
+		go func() {
+			answer <- c.entry.Serve(t.Context(), &Call{ID: "1", Method: "GET", URI: "/long/1", Path: "/long/1", Host: "h", Arrived: time.Now()})
+		}()
+		time.Sleep(time.Second)
+		c.net.Pause(ident.Addr(c.servers[0].addr), true)
+		time.Sleep(2 * time.Second)
+		c.net.Pause(ident.Addr(c.servers[0].addr), false)
+		_ = c.call() // opens another link
+		a := <-answer
+		time.Sleep(20 * time.Second) // the backend server works on
+		is.Equal(a.Refusal, nil)
+		is.Equal(a.Status, 200)
+	})
+}
