mesh: Ignore the silence of an attempt that has ended

A call could end with 502 although a retry was left, or take a further attempt from the budget of all daemons beside one that was running well.

That a link is silent and that a call on it was answered is told by two goroutines, in either order. After this daemon itself has been stopped for a second, both happen at once. If the silence came last, its server stayed in the set of silent ones for good: an attempt at another server then counted as the silent one, and after the last result the numbers never matched again, so that no attempt was made.

Attempts have numbers now and are the only record of what runs and what is silent; silence of an attempt that has its result changes nothing.

--- a/mesh/entry.go
+++ b/mesh/entry.go
@@ -102,7 +102,8 @@
 	deadline time.Time // when the call times out
 
 	excluded       map[ident.Addr]bool // servers that are not tried again
-	silent         map[ident.Addr]bool // servers that have become silent, with an attempt that still runs
+	started        int                 // attempts
+	running        map[int]bool        // attempts without a result, by number; true: the server has become silent
 	triedNoWait    map[ident.Addr]bool // servers already tried without waiting in their queue
 	noWaitAttempts int
 	shortestWait   time.Duration // shortest queue wait reported by a busy server
--- a/mesh/settle.go
+++ b/mesh/settle.go
@@ -13,12 +13,13 @@
 
 // result is the result of one attempt, or tells that its server has become silent.
 type result struct {
-	server ident.Addr
-	silent bool // the attempt goes on
-	reply  *reply
-	err    error
-	took   time.Duration
-	need   route.Requirements
+	attempt int // number in the call
+	server  ident.Addr
+	silent  bool // the attempt goes on
+	reply   *reply
+	err     error
+	took    time.Duration
+	need    route.Requirements
 }
 
 // noWait reports whether the attempt was a no-wait attempt.
@@ -51,20 +52,37 @@
 }
 
 // handleSilence processes that the server of an attempt has become silent, and reports whether another attempt may be
-// made beside it. Its answer may still arrive.
-func (p *pendingCall) handleSilence(ctx context.Context, r result, running int) bool {
-	p.silent[r.server] = true
+// made beside it. Its answer may still arrive. If it has arrived meanwhile, there is nothing to do.
+func (p *pendingCall) handleSilence(ctx context.Context, r result) bool {
+	if _, ok := p.running[r.attempt]; !ok {
+		return false
+	}
+	p.running[r.attempt] = true
 	p.excluded[r.server] = true
 	p.n.board.Pause(r.server)
 	p.n.d.Stats.Inc("Entry.Silent")
 	p.trace = append(p.trace, attempt{server: r.server, outcome: "Silent"})
-	return running == len(p.silent) && p.mayRetry(ctx)
+	return p.onlySilent() && p.mayRetry(ctx)
 }
 
+// silentAttempts returns the number of attempts without a result whose servers have become silent.
+func (p *pendingCall) silentAttempts() int {
+	sum := 0
+	for _, silent := range p.running {
+		if silent {
+			sum++
+		}
+	}
+	return sum
+}
+
+// onlySilent reports whether no attempt runs at a server that has not become silent.
+func (p *pendingCall) onlySilent() bool { return p.silentAttempts() == len(p.running) }
+
 // handleResult processes the result of an attempt. It returns the answer to the call, or whether another
 // attempt may be made.
 func (p *pendingCall) handleResult(ctx context.Context, r result) (*Answer, bool) {
-	delete(p.silent, r.server)
+	delete(p.running, r.attempt)
 	p.recordAttempt(r)
 	if r.noWait() && r.err == nil {
 		p.n.noWait.add(p.service, r.reply.Outcome != rejected)
--- a/mesh/visit.go
+++ b/mesh/visit.go
@@ -38,41 +38,36 @@
 
 // run makes attempts until one is answered or no more are allowed.
 func (p *pendingCall) run(ctx context.Context) *Answer {
-	p.excluded, p.triedNoWait, p.silent = map[ident.Addr]bool{}, map[ident.Addr]bool{}, map[ident.Addr]bool{}
+	p.excluded, p.triedNoWait, p.running = map[ident.Addr]bool{}, map[ident.Addr]bool{}, map[int]bool{}
 	results := make(chan result, 4+maxBusyServers)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel() // cancels attempts that are still running
-	running := 0   // attempts, silent ones too
-	if p.startNext(ctx, results) {
-		running++
-	}
+	p.startNext(ctx, results)
 	hedge := time.NewTimer(p.hedgeDelay())
 	defer hedge.Stop()
-	for running > 0 {
+	for len(p.running) > 0 {
 		again := false
 		select {
 		case <-hedge.C:
-			if p.mayHedge(running) && p.hedge(ctx, results) {
+			if p.mayHedge() && p.hedge(ctx, results) {
 				p.n.d.Stats.Retried("Hedge")
-				running++
 			}
 			continue
 		case r := <-results:
 			if r.silent {
-				again = p.handleSilence(ctx, r, running)
+				again = p.handleSilence(ctx, r)
 				break
 			}
-			running--
 			var a *Answer
 			if a, again = p.handleResult(ctx, r); a != nil {
 				return a
 			}
 		}
-		if again && running == len(p.silent) && p.startNext(ctx, results) {
-			running++
+		if again && p.onlySilent() {
+			p.startNext(ctx, results)
 		}
-		if running == 0 && p.shouldQueueLate() && p.startAttempt(ctx, results, p.maxWaitPastGoal()) {
-			running++
+		if len(p.running) == 0 && p.shouldQueueLate() {
+			p.startAttempt(ctx, results, p.maxWaitPastGoal())
 		}
 	}
 	return p.finalAnswer(ctx)
@@ -173,18 +168,21 @@
 		Host: p.c.Host, Header: p.c.Header, Body: p.c.Body, Idempotent: p.route.Idempotent, Priority: p.route.Priority,
 		Goal: p.goal.Sub(now), TimeLeft: p.deadline.Sub(now) - answerMargin, MaxWait: maxWait, Version: p.version,
 	}
+	p.started++
+	number := p.started
+	p.running[number] = false
 	var onSilent func()
 	if p.route.Idempotent {
 		onSilent = func() {
 			select {
-			case results <- result{server: c.Addr, silent: true}:
+			case results <- result{attempt: number, server: c.Addr, silent: true}:
 			case <-ctx.Done():
 			}
 		}
 	}
 	go func() {
 		r, err := p.n.send(ctx, c.Addr, req, onSilent)
-		out := result{server: c.Addr, reply: r, err: err, took: p.n.d.Now().Sub(now), need: need}
+		out := result{attempt: number, server: c.Addr, reply: r, err: err, took: p.n.d.Now().Sub(now), need: need}
 		p.n.board.End(c.Addr, out.observation(ctx))
 		results <- out
 	}()
@@ -223,7 +221,7 @@
 
 // mayRetry reports whether a call that may have run is retried, and takes the retry from the budget.
 func (p *pendingCall) mayRetry(ctx context.Context) bool {
-	if !p.route.Idempotent || ctx.Err() != nil || p.sent+len(p.silent) >= p.attempts() || !p.n.retries.Take(p.service, retry.Failed) {
+	if !p.route.Idempotent || ctx.Err() != nil || p.sent+p.silentAttempts() >= p.attempts() || !p.n.retries.Take(p.service, retry.Failed) {
 		return false
 	}
 	p.n.d.Stats.Retried("Failed")
@@ -238,6 +236,6 @@
 }
 
 // mayHedge reports whether a second attempt may be started, and takes it from the retry budget.
-func (p *pendingCall) mayHedge(running int) bool {
-	return p.route.Idempotent && running == 1 && p.sent+running < p.attempts() && p.n.retries.Take(p.service, retry.Hedge)
+func (p *pendingCall) mayHedge() bool {
+	return p.route.Idempotent && len(p.running) == 1 && p.sent+1 < p.attempts() && p.n.retries.Take(p.service, retry.Hedge)
 }
