link: Test two daemons that end a link at once

TestShutdownOfBoth has calls on a link that its two daemons end up to 100 ms apart, in either order. Each call is answered or was not sent, and no shutdown waits for its timeout. It passed on the code as it was.

--- a/link/shutdown_test.go
+++ b/link/shutdown_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -155,3 +157,42 @@
 		is.True(time.Since(began) <= 2*stopReplyTimeout)
 	})
 }
+
+// TestShutdownOfBoth guards against two daemons that stop within a round trip and lose the calls between them, or wait for
+// each other until the end of their grace time.
+func TestShutdownOfBoth(t *testing.T) {
+	for after := time.Duration(0); after <= 100*time.Millisecond; after += 10 * time.Millisecond {
+		for _, callerFirst := range []bool{true, false} {
+			t.Run(fmt.Sprint("caller first ", callerFirst, ", ", after), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					caller, other := farPair(t, Handlers{Call: func(context.Context, *Conn, []byte) []byte {
+						time.Sleep(50 * time.Millisecond)
+						return []byte("answer")
+					}})
+					began := time.Now()
+					var wg sync.WaitGroup
+					for i := range 20 {
+						wg.Go(func() {
+							time.Sleep(time.Duration(i) * 5 * time.Millisecond)
+							if _, err := caller.Call(t.Context(), []byte("x"), nil); err != nil && !errors.Is(err, ErrNotSent) {
+								t.Errorf("call after %d ms: %v", 5*i, err)
+							}
+						})
+					}
+					first, second := other, caller
+					if callerFirst {
+						first, second = caller, other
+					}
+					wg.Go(func() { first.Shutdown(t.Context()) })
+					wg.Go(func() {
+						time.Sleep(after)
+						second.Shutdown(t.Context())
+					})
+					wg.Wait()
+					is.True(time.Since(began) < after+stopReplyTimeout)
+				})
+			})
+		}
+	}
+}
