proxy: Write refusals of calls that end after their deadline

A caller whose call ended at its deadline could see its connection close without an answer. The write deadline of a call's connection is 1 s after the call's deadline, but the refusal of a keyed call is written only after its outcome was reported to the key's home, which takes up to 2 s if the home is silent, and a claim may be withdrawn for up to 1 s before it is refused. The write then failed.

TestRefusalAfterDeadline failed before in both cases (unexpected EOF).

The write deadline is now set again when a refusal or a recorded answer is ready, and its grace begins then if the deadline has passed. Calls that end in time have the same write deadline as before.

--- /dev/null
+++ b/proxy/answertime_test.go
@@ -0,0 +1,70 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/marjoramcroft/marjoramcroft/refuse"
+)
+
+// TestRefusalAfterDeadline guards against a call that ends without an answer, since its refusal is written after the time
+// in which an answer may be written.
+func TestRefusalAfterDeadline(t *testing.T) {
+	tests := map[string]struct {
+		edit   func(*rig)
+		reason refuse.Reason
+		ran    refuse.Ran
+	}{
+		"keyed call, its home unreachable": {
+			edit: func(g *rig) {
+				g.entry.d.Finish = func(ctx context.Context, _ KeyRequest, _ StoredAnswer) error {
+					<-ctx.Done()
+					return ctx.Err()
+				}
+			},
+			reason: refuse.AnswerLost, ran: refuse.RanUnknown,
+		},
+		"claim answered late": {
+			edit: func(g *rig) {
+				g.entry.d.Claim = func(ctx context.Context, _ KeyRequest) (KeyVerdict, error) {
+					<-ctx.Done()
+					time.Sleep(finishTimeout) // as when the claim is withdrawn
+					return KeyVerdict{}, refuse.New(refuse.KeyHomeUnreachable, refuse.RanUnknown, "")
+				}
+			},
+			reason: refuse.KeyHomeUnreachable, ran: refuse.RanUnknown,
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				g := newRig(t, 1, nil)
+				defer g.close()
+				g.replaceBackend(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+					<-r.Context().Done() // works until the call is given up
+				}))
+				tt.edit(g)
+				c, err := g.net.Dial(t.Context(), "tcp", "entry")
+				is.NoErr(err)
+				defer c.Close()
+				_, err = fmt.Fprintf(c, "POST /once HTTP/1.1\r\nHost: x\r\n%s: office\r\n%s: k\r\nContent-Length: 0\r\n\r\n",
+					HeaderMember, HeaderKey)
+				is.NoErr(err)
+				resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+				is.NoErr(err) // without an answer, the connection ends
+				defer resp.Body.Close()
+				is.Equal(resp.StatusCode, tt.reason.Status())
+				is.Equal(refuse.FromResponse(resp.Header).Reason, tt.reason)
+				is.Equal(refuse.FromResponse(resp.Header).Ran, tt.ran)
+			})
+		})
+	}
+}
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -53,6 +53,13 @@
 	return nil
 }
 
+// prepareReply prepares w for a response that does not come from a server, such as a refusal. Its call may have ended
+// later than at the deadline, for example when the home of its key did not respond.
+func (c *call) prepareReply(w http.ResponseWriter) {
+	c.drainBody(w)
+	setWriteDeadline(w, c.chain.Deadline)
+}
+
 // drainBody reads part of an upload that is not used. A caller that is still sending then gets
 // the response instead of a broken connection.
 func (c *call) drainBody(w http.ResponseWriter) {
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -82,7 +82,7 @@
 	}
 	resp, ref := e.run(c)
 	if ref != nil {
-		c.drainBody(w)
+		c.prepareReply(w)
 		e.refuse(w, ref)
 		return
 	}
--- a/proxy/keyed.go
+++ b/proxy/keyed.go
@@ -20,7 +20,7 @@
 	req.Call = e.d.NewCall()
 	v, err := e.d.Claim(c.ctx, req)
 	if err != nil {
-		c.drainBody(w)
+		c.prepareReply(w)
 		e.refuse(w, asRefusal(err, refuse.KeyHomeUnreachable, refuse.RanUnknown))
 		return
 	}
@@ -46,7 +46,7 @@
 	resp, ref := e.run(c)
 	if ref != nil {
 		e.finish(c, req, StoredAnswer{Ran: ref.Ran})
-		c.drainBody(w)
+		c.prepareReply(w)
 		e.refuse(w, ref)
 		return
 	}
@@ -78,7 +78,7 @@
 
 // replay sends the recorded answer of the first call with the key.
 func (e *Entry) replay(w http.ResponseWriter, c *call, ans StoredAnswer) {
-	c.drainBody(w)
+	c.prepareReply(w)
 	if ans.Ran != refuse.RanYes {
 		e.refuse(w, refuse.New(refuse.KeyUnknown, refuse.RanUnknown, "the first call with this key may have run"))
 		return
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -154,7 +154,16 @@
 	if r.ContentLength != 0 {
 		_ = rc.SetReadDeadline(deadline)
 	}
-	_ = rc.SetWriteDeadline(deadline.Add(writeGrace))
+	setWriteDeadline(w, deadline)
+}
+
+// setWriteDeadline sets the write deadline for a response that is due at deadline. If that has passed, the
+// grace begins now: the reader is still owed a response.
+func setWriteDeadline(w http.ResponseWriter, deadline time.Time) {
+	if now := time.Now(); deadline.Before(now) {
+		deadline = now
+	}
+	_ = http.NewResponseController(w).SetWriteDeadline(deadline.Add(writeGrace))
 }
 
 // clearReadDeadline removes the read deadline once the request has been read: an expired one
