proxy: Answer the calls left at the time limit of a stop

A daemon that stops waited for Stop.Timeout (4 min) for its calls and then for as long again in Shutdown, and exited with all calls that still ran or waited. Routes of class long may last 4 h. Their callers saw the connection close without an answer; calls of other daemons that waited for a unit or a slot counted as lost although they had not run, so that they were not sent to another server.

At the time limit the contexts of the calls now end with a cause of their own, so that each gets a refusal that says whether it may have run: Draining if it has not, which another daemon retries. An answer of which a part was sent still breaks off visibly. Stop.Timeout is unchanged.

--- a/daemon/run.go
+++ b/daemon/run.go
@@ -77,8 +77,8 @@
 	d.conns.close()
 }
 
-// drain stops the daemon in an order that interrupts no call: it announces the drain to the other
-// daemons, refuses new calls as not run, waits for calls in flight, and then hands over its
+// drain stops the daemon in an order that interrupts no call before Stop.Timeout: it announces the drain to
+// the other daemons, refuses new calls as not run, waits for calls in flight, and then hands over its
 // idempotency records and units.
 func (d *Daemon) drain() {
 	if !d.stopping.CompareAndSwap(false, true) {
@@ -91,8 +91,8 @@
 	case <-time.After(d.settings.Stop.Notice):
 	case <-ctx.Done():
 	}
-	// An error means that calls were still in flight at the timeout; the next process then starts as
-	// after a crash.
+	// An error means that calls were still in flight at the timeout and were ended. If some still run at
+	// the backend server, the next process starts as after a crash.
 	if err := errors.Join(d.entry.Stop(ctx), d.target.Stop(ctx)); err != nil {
 		d.log.Emit(event.DrainIncomplete, "Error", err)
 	}
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -47,7 +47,7 @@
 	resp.Body = &notifyingBody{ReadCloser: resp.Body, onEnd: func(err error) { a.bodyEnded(ctx, err) }}
 	if err := bufferShortBody(a.c.r.Method, resp); err != nil {
 		// The headers have not been sent to the caller, so it can still get a refusal.
-		if cause := ctx.Err(); cause != nil {
+		if cause := context.Cause(ctx); cause != nil {
 			return nil, contextRefusal(cause, refuse.RanUnknown)
 		}
 		return nil, refuse.New(refuse.AnswerLost, refuse.RanUnknown, err.Error())
@@ -121,7 +121,7 @@
 	if sent {
 		ran = refuse.RanUnknown
 	}
-	cause := ctx.Err()
+	cause := context.Cause(ctx)
 	switch {
 	case cause != nil:
 		return contextRefusal(cause, ran)
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -41,7 +41,7 @@
 func (c *call) readBody(w http.ResponseWriter) *refuse.Refusal {
 	p, err := readPayload(c.r)
 	if err != nil {
-		if cause := c.ctx.Err(); cause != nil {
+		if cause := context.Cause(c.ctx); cause != nil {
 			return contextRefusal(cause, refuse.RanNo)
 		}
 		return refuse.NotRun(refuse.BadRequest, err.Error())
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -43,8 +43,8 @@
 	return e
 }
 
-// Stop refuses further calls with Draining and waits until the running ones have ended. It
-// returns an error if ctx ends first; no call is interrupted.
+// Stop refuses further calls with Draining and waits until the running ones have ended. If ctx ends first, it ends
+// them, each with a refusal, and returns an error.
 func (e *Entry) Stop(ctx context.Context) error {
 	if err := e.running.stop(ctx); err != nil {
 		return fmt.Errorf("stop entry: %w", err)
@@ -65,7 +65,7 @@
 		e.refuse(w, asRefusal(err, refuse.BadRequest, refuse.RanNo))
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), c.chain.Deadline)
+	ctx, cancel := e.running.withDeadline(r.Context(), c.chain.Deadline)
 	defer cancel()
 	c.ctx = ctx
 	setIODeadlines(w, r, c.chain.Deadline)
--- a/proxy/keyed.go
+++ b/proxy/keyed.go
@@ -39,7 +39,7 @@
 // a cancelled call would stay unknown.
 func (e *Entry) runKeyed(w http.ResponseWriter, c *call, req KeyRequest) {
 	if c.body.rest == nil {
-		ctx, cancel := context.WithDeadline(context.WithoutCancel(c.ctx), c.chain.Deadline)
+		ctx, cancel := e.running.withDeadline(context.WithoutCancel(c.ctx), c.chain.Deadline)
 		defer cancel()
 		c.ctx = ctx
 	}
--- a/proxy/target.go
+++ b/proxy/target.go
@@ -35,8 +35,8 @@
 	return &Target{d: d, dial: dialer(d.Dial), running: newCallTracker(), processes: newProcessTracker()}
 }
 
-// Stop refuses further calls with Draining and waits until the running ones have ended. It
-// returns an error if ctx ends first; no call is interrupted.
+// Stop refuses further calls with Draining and waits until the running ones have ended. If ctx ends first, it ends
+// them, each with a refusal, and returns an error.
 func (t *Target) Stop(ctx context.Context) error {
 	if err := t.running.stop(ctx); err != nil {
 		return fmt.Errorf("stop target: %w", err)
@@ -59,7 +59,7 @@
 	}
 	w.Header().Set(HeaderCall, hop.Call.String())
 	deadline := hop.localDeadline(time.Now())
-	ctx, cancel := context.WithDeadline(r.Context(), deadline)
+	ctx, cancel := t.running.withDeadline(r.Context(), deadline)
 	defer cancel()
 	setIODeadlines(w, r, deadline)
 	resp, err := t.do(ctx, hop, r, streamedPayload(r))
@@ -155,8 +155,11 @@
 
 // contextRefusal returns the refusal for a call whose context has ended with err.
 func contextRefusal(err error, ran refuse.Ran) *refuse.Refusal {
-	if errors.Is(err, context.DeadlineExceeded) {
+	switch {
+	case errors.Is(err, context.DeadlineExceeded):
 		return refuse.New(refuse.DeadlinePassed, ran, "the deadline has passed")
+	case errors.Is(err, errStopping):
+		return refuse.New(refuse.Draining, ran, err.Error())
 	}
 	return refuse.New(refuse.Cancelled, ran, "the caller has gone")
 }
@@ -172,10 +175,11 @@
 // waitRefusal returns the refusal for a call whose wait for a unit or slot failed with err. If
 // the context has ended, that is the reason.
 func waitRefusal(ctx context.Context, err error, reason refuse.Reason) *refuse.Refusal {
-	if ref := refuse.From(err); ref != nil {
+	cause := context.Cause(ctx)
+	if ref := refuse.From(err); ref != nil && !errors.Is(cause, errStopping) {
 		return ref
 	}
-	if cause := ctx.Err(); cause != nil {
+	if cause != nil {
 		return contextRefusal(cause, refuse.RanNo)
 	}
 	return refuse.NotRun(reason, err.Error())
--- a/proxy/targetcall.go
+++ b/proxy/targetcall.go
@@ -82,7 +82,7 @@
 
 // checkContext refuses the call, as not run, if it was cancelled or its deadline has passed.
 func (c *targetCall) checkContext() error {
-	if err := c.ctx.Err(); err != nil {
+	if err := context.Cause(c.ctx); err != nil {
 		return contextRefusal(err, refuse.RanNo)
 	}
 	return nil
@@ -233,7 +233,7 @@
 // deadline itself, since a backend server that stops the call at the same deadline may be seen
 // before the context has ended.
 func (c *targetCall) endCause() error {
-	if err := c.ctx.Err(); err != nil {
+	if err := context.Cause(c.ctx); err != nil {
 		return err
 	}
 	if at, ok := c.ctx.Deadline(); ok && !time.Now().Before(at) {
