--- a/mesh/entry.go
+++ b/mesh/entry.go
@@ -31,6 +31,19 @@
 	n.endCalls()
 }
 
+// RouteTimeout returns the timeout of the route for a host and path in the configuration in force.
+func (n *Node) RouteTimeout(host, path string) (time.Duration, bool) {
+	t := n.table.Load()
+	if t == nil {
+		return 0, false
+	}
+	r, ok := t.Find(host, path)
+	if !ok {
+		return 0, false
+	}
+	return r.Timeout, true
+}
+
 // resolve finds the route of a call. The answer is non-nil if the call cannot be sent to any server.
 func (n *Node) resolve(c *Call) (*pendingCall, *Answer) {
 	p := &pendingCall{n: n, c: c}
