wire: End the pause after a failed accept with its listener

A daemon that stops while it can accept no connections could outlast its grace time and be killed before its links had ended.

net/http's server sleeps up to 1 s after a failed accept, and its Shutdown waits for that sleep whatever its context says. The end of a stop on the platform has 0.9 s in all.

The listener of RetryAccept makes the pauses itself, as Listener does, and its Close ends them.

--- a/wire/accept.go
+++ b/wire/accept.go
@@ -1,37 +1,47 @@
 package wire
 
 import (
+	"context"
 	"errors"
+	"log"
 	"net"
+
+	"github.com/marjoramcroft/marjoramcroft/delay"
 )
 
-// RetryAccept returns a listener with which net/http's server retries each failed Accept, with a growing pause. By
-// itself the server retries only at the limit of descriptors and ends at other errors, such as those of a kernel that is
-// short of memory; the process would exit with all requests in flight.
-func RetryAccept(ln net.Listener) net.Listener { return retryListener{ln} }
+// RetryAccept returns a listener for net/http's server that retries each failed Accept, with a growing pause. The server
+// itself retries only at the limit of descriptors and ends at other errors, such as those of a kernel that is short of
+// memory; the process would exit with all requests in flight. Its Shutdown also waits for the end of the server's own
+// pause, while Close of this listener ends the pause at once.
+func RetryAccept(ln net.Listener) net.Listener {
+	l := &retryListener{Listener: ln}
+	l.ctx, l.cancel = context.WithCancel(context.Background())
+	return l
+}
 
 type retryListener struct {
 	net.Listener
+
+	ctx    context.Context // ends with Close
+	cancel context.CancelFunc
 }
 
-// Accept returns the next connection. Its errors are temporary, except that the listener is closed.
-func (l retryListener) Accept() (net.Conn, error) {
-	nc, err := l.Listener.Accept()
-	if err != nil && !errors.Is(err, net.ErrClosed) {
-		err = temporaryError{err}
+// Accept returns the next connection. It fails only if the listener is closed.
+func (l *retryListener) Accept() (net.Conn, error) {
+	for pause := acceptPause; ; pause = min(maxAcceptPause, 2*pause) {
+		nc, err := l.Listener.Accept()
+		if err == nil || errors.Is(err, net.ErrClosed) {
+			return nc, err //nolint:wrapcheck // net/http checks its type
+		}
+		log.Printf("accept: %v; next attempt in %v", err, pause)
+		if !delay.Sleep(l.ctx, pause) {
+			return nil, net.ErrClosed
+		}
 	}
-	return nc, err //nolint:wrapcheck // net/http checks its type
 }
 
-// temporaryError is a net.Error after which net/http retries.
-type temporaryError struct {
-	error
+// Close stops accepting, and ends a pause.
+func (l *retryListener) Close() error {
+	l.cancel()
+	return l.Listener.Close() //nolint:wrapcheck // net/http passes it on
 }
-
-func (e temporaryError) Unwrap() error { return e.error }
-
-// Timeout reports false.
-func (temporaryError) Timeout() bool { return false }
-
-// Temporary reports true.
-func (temporaryError) Temporary() bool { return true }
--- a/wire/accept_test.go
+++ b/wire/accept_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -86,3 +87,21 @@
 		is.Equal(time.Since(began), time.Duration(0))
 	})
 }
+
+// TestShutdownBesideAcceptErrors guards against a stop of an HTTP server that waits for the pause after a failed accept,
+// at the end of which the process may be killed.
+func TestShutdownBesideAcceptErrors(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := &pipeListener{err: syscall.ENOBUFS, failures: 1000, closed: make(chan struct{})}
+		s := &http.Server{}
+		served := make(chan error, 1)
+		go func() { served <- s.Serve(RetryAccept(p)) }()
+		time.Sleep(10*time.Second + time.Millisecond)
+		began := time.Now()
+		is.NoErr(s.Shutdown(t.Context()))
+		is.Equal(<-served, http.ErrServerClosed)
+		is.Equal(time.Since(began), time.Duration(0))
+		is.True(p.failures > 980) // the pauses grow
+	})
+}
