daemon: Log without waiting for the reader of the log

A daemon whose log has a reader that stopped reading hung in its next write to the log, with the logger's lock held: each call that logs an event then waited for it and got no answer, and the daemon didn't react to SIGTERM. The daemon of the users' platform already queued its lines.

The log is now written by a DroppingWriter, which drops lines and reports their number if the output is slow. Its Close gives up after 1 s, since an output that blocks kept the process from exiting.

--- a/daemon/main.go
+++ b/daemon/main.go
@@ -38,7 +38,9 @@
 		_, _ = fmt.Fprintln(stdout, "settings are valid")
 		return exitOK
 	}
-	log := event.New(stderr, settings.Log.Level)
+	out := event.NewDroppingWriter(stderr) // calls must not wait for the reader of the log
+	defer out.Close()
+	log := event.New(out, settings.Log.Level)
 	d, err := New(Deps{
 		Settings: settings, Driver: store.NewHTTP(settings.Store.Endpoint, &http.Client{}), Log: log, Stats: stats.New(),
 	})
--- a/event/bounded.go
+++ b/event/bounded.go
@@ -17,6 +17,8 @@
 	maxQueuedLines = 4096
 	// reportInterval is the time between two log events that state the number of dropped lines.
 	reportInterval = time.Second
+	// closeTimeout limits the time in which queued lines are written at the end of the process.
+	closeTimeout = time.Second
 )
 
 // DroppingWriter is a line writer that never blocks. It drops lines above its rate limit, and lines that do not fit
@@ -82,8 +84,14 @@
 	}
 }
 
-// Close writes the queued lines and stops the writer. Lines written afterwards are lost.
+// Close writes the queued lines and stops the writer. It gives up if the output blocks. Lines written afterwards are
+// lost.
 func (b *DroppingWriter) Close() {
 	close(b.stop)
-	<-b.stopped
+	timer := time.NewTimer(closeTimeout)
+	defer timer.Stop()
+	select {
+	case <-b.stopped:
+	case <-timer.C:
+	}
 }
