wire: Close connections that are accepted during Close

A daemon could hang at its exit until the peer ended: a connection that was accepted at the same time as the listener was closed was added after Close had closed all others, and Close waited for it.

TestListenerAcceptDuringClose failed before: the connection stayed open.

Such a connection is now closed at once, in the same lock as Close uses.

--- a/wire/accept_test.go
+++ b/wire/accept_test.go
@@ -86,3 +86,20 @@
 		is.Equal(time.Since(began), time.Duration(0))
 	})
 }
+
+// TestListenerAcceptDuringClose guards against a listener that waits in Close for a connection which was accepted at the
+// same time: the daemon would not stop.
+func TestListenerAcceptDuringClose(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		near, far := net.Pipe()
+		defer func() { _ = near.Close() }()
+		l := NewListener(&pipeListener{closed: make(chan struct{})}, echoHandler)
+		is.NoErr(l.Close())
+		l.add(NewConn(far, echoHandler))
+		synctest.Wait()
+		_, err := near.Write([]byte{0})
+		is.True(err != nil) // the connection is closed
+		l.wg.Wait()
+	})
+}
--- a/wire/listener.go
+++ b/wire/listener.go
@@ -71,6 +71,10 @@
 func (l *Listener) add(c *Conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.ctx.Err() != nil { // accepted during Close, which has closed the connections added before
+		_ = c.Close()
+		return
+	}
 	l.conns[c] = struct{}{}
 	l.wg.Go(func() {
 		_ = c.Serve()
