mesh: Tell a root that the store does not answer of a newer version

A root follows no other daemon. While the store answered others but not the roots, these learned of a new version only from calls and replies.

A root in that state requests the configuration at once from the daemon that told it, from one at a time. Others still wait for their parents or the store, so no document is sent twice.

--- a/mesh/document.go
+++ b/mesh/document.go
@@ -90,6 +90,7 @@
 	if n.hasFollowers() {
 		n.notifyFollowers(n.configNotice(before, doc, d))
 	}
+	n.tellParents()
 }
 
 // configNotice returns a notice with doc, as a delta against before if there is one. It reuses d if that fits.
--- a/mesh/gossip.go
+++ b/mesh/gossip.go
@@ -47,6 +47,7 @@
 	case m.WantState:
 		n.sendState(c, m.Version)
 	case m.Version > n.Version():
+		n.requestVersion(c)
 		n.observeVersion(m.Version)
 	}
 }
@@ -67,7 +68,7 @@
 // newer than the state so far. The store's positions order all entries, so nothing is passed on twice, even among
 // daemons that follow each other.
 func (n *Node) applyState(c *link.Conn, m *notice) {
-	followed := n.subs.received(c)
+	followed := n.subs.received(c, m.Version)
 	n.observeEra(m.Era)
 	n.stateMu.Lock()
 	defer n.stateMu.Unlock()
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -102,6 +102,8 @@
 	era          store.Era // highest era of the store so far; zero: not known
 	// storeLatency is the shortest call to the store so far; zero: none has succeeded.
 	storeLatency time.Duration
+	// versionRequested is when this daemon, as a root that the store does not answer, last requested a newer configuration.
+	versionRequested time.Time
 }
 
 // New returns a Node without configuration or peers. Call Start to run it.
--- a/mesh/subscriptions.go
+++ b/mesh/subscriptions.go
@@ -31,6 +31,9 @@
 	notice time.Time // when its last notice arrived
 	// current is when its state was that of the store by its confirmations, at first when it was followed.
 	current time.Time
+	version ident.Version // of the other daemon, by its notices
+	told    ident.Version // last version of which the other daemon was told, at toldAt
+	toldAt  time.Time
 	// behindSince is when a confirmation first showed that this daemon's state lacks lacked; zero: it lacks nothing.
 	behindSince time.Time
 	lacked      progress
@@ -72,8 +75,8 @@
 	}
 }
 
-// received records a notice over c, and reports whether this daemon follows the sender.
-func (s *subscriptions) received(c *link.Conn) bool {
+// received records a notice over c from a daemon with version v, and reports whether this daemon follows the sender.
+func (s *subscriptions) received(c *link.Conn, v ident.Version) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	sub := s.following[c]
@@ -81,6 +84,7 @@
 		return false
 	}
 	sub.notice = time.Now()
+	sub.version = max(sub.version, v)
 	return true
 }
 
@@ -276,6 +280,7 @@
 // confirmState tells followers how current this daemon's state is, and does what depends on that.
 func (n *Node) confirmState() {
 	n.confirmFollowers()
+	n.tellParents()
 	if _, ok := n.stateAge(); ok { // else the store may have entries that this daemon does not know
 		n.peers.removeMissing(time.Now())
 	}
