link: Keep a link whose large frames take long

A caller of a daemon whose link to another one was narrow got 502, or waited until its call was retried, although the backend server had answered or was at work. It hit all calls on that link at the moment at which a large answer had taken 5 s.

The write timeout, meant for a daemon that does not read, limited the write of a whole frame, which may have 8 MB: some 13 Mbit/s. A link that exceeded it was closed.

A frame is now written in parts of 64 KB, and the timeout applies to each of them.

TestLargeAnswerOverNarrowNetwork failed before: "answer of the daemon lost: connection ended" after 5 s of an answer that takes 7 s.

--- a/link/conn.go
+++ b/link/conn.go
@@ -24,7 +24,9 @@
 	silenceCheckInterval = 150 * time.Millisecond
 	// maxQueuedBytes limits the bytes queued for writing; above it, the other daemon is not reading.
 	maxQueuedBytes = 16 << 20
-	// writeTimeout limits one write to a daemon that does not read.
+	// maxWriteBytes limits one write.
+	maxWriteBytes = 64 << 10
+	// writeTimeout limits the write of maxWriteBytes to a daemon that does not read.
 	writeTimeout = 5 * time.Second
 	// cancelReplyTimeout is how long a cancelled call waits for its outcome: a round trip between regions and
 	// a stop of 100 ms by a processor quota.
@@ -298,7 +300,7 @@
 		buf, answers = buf[:0], 0
 		n := 0
 		for _, o := range c.queue {
-			if len(buf) > 0 && len(buf)+len(o.frame) > 64<<10 {
+			if len(buf) > 0 && len(buf)+len(o.frame) > maxWriteBytes {
 				break
 			}
 			if w := c.waiting[o.id]; w != nil {
@@ -314,13 +316,24 @@
 		c.queue = append(c.queue[:0], c.queue[n:]...)
 		c.writing = true
 		c.mu.Unlock()
-		if err := c.nc.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		if err := c.write(buf); err != nil {
 			return
 		}
-		if _, err := c.nc.Write(buf); err != nil {
-			return
+	}
+}
+
+// write writes b. A large frame may take longer than writeTimeout over a narrow network, as long as the other daemon
+// reads.
+func (c *Conn) write(b []byte) error {
+	for part := range slices.Chunk(b, maxWriteBytes) {
+		if err := c.nc.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+			return fmt.Errorf("set write deadline: %w", err)
+		}
+		if _, err := c.nc.Write(part); err != nil {
+			return fmt.Errorf("write: %w", err)
 		}
 	}
+	return nil
 }
 
 // Call sends a call and returns the body of its answer. When ctx is done, the call is cancelled at the other
