link: Count the parts of a large frame as a sign of life

A call that may be repeated also ran at a second server, and the server's daemon got no further calls for a while, though its answer was arriving: a large one, over a narrow network. A link was taken for silent if no frame had been complete for 0.9 s, and new calls over it went elsewhere as its daemon did not seem to answer a ping.

Each read that returns bytes now shows that the other daemon is there.

--- a/link/conn.go
+++ b/link/conn.go
@@ -80,10 +80,10 @@
 	end          shutdown
 	pinged       bool
 	silent       bool
-	confirming   chan struct{} // closed when the next frame arrives; nil: no Confirm waits
+	confirming   chan struct{} // closed when the next bytes arrive; nil: no Confirm waits
 	waitingSince time.Time     // when the first of the waiting calls started
 	silenceTimer *time.Timer   // runs checkSilence while calls wait
-	lastReceived atomic.Int64  // when the last frame arrived, as duration since start
+	lastReceived atomic.Int64  // when the last bytes arrived or a frame was complete, as duration since start
 	start        time.Time
 }
 
@@ -106,7 +106,19 @@
 // RemoteAddr returns the address of the other daemon.
 func (c *Conn) RemoteAddr() net.Addr { return c.nc.RemoteAddr() }
 
-// recordReceived records that a frame has arrived.
+// receiver reads from a Conn's connection. The parts of a large frame show that the other daemon is there.
+type receiver struct{ c *Conn }
+
+// Read reads from the connection.
+func (r receiver) Read(b []byte) (int, error) {
+	n, err := r.c.nc.Read(b)
+	if n > 0 {
+		r.c.recordReceived()
+	}
+	return n, err //nolint:wrapcheck // a reader passes errors on
+}
+
+// recordReceived records that a frame, or a part of one, has arrived.
 func (c *Conn) recordReceived() {
 	c.lastReceived.Store(int64(time.Since(c.start)))
 	c.mu.Lock()
@@ -138,7 +150,7 @@
 func (c *Conn) Serve() error {
 	defer c.Close()
 	go c.writeLoop()
-	r := bufio.NewReaderSize(c.nc, 8<<10)
+	r := bufio.NewReaderSize(receiver{c}, 8<<10)
 	for {
 		payload, err := wire.ReadFrame(r)
 		if err != nil {
--- a/link/silence.go
+++ b/link/silence.go
@@ -13,7 +13,7 @@
 	return c.silent
 }
 
-// Confirm reports whether the other daemon answers: it has sent a frame within recent, or answers a ping within
+// Confirm reports whether the other daemon answers: it has sent something within recent, or answers a ping within
 // timeout. A caller can then send a call elsewhere, rather than to a VM that has lost power or its network.
 func (c *Conn) Confirm(ctx context.Context, recent, timeout time.Duration) bool {
 	c.mu.Lock()
