--- a/link/conn.go
+++ b/link/conn.go
@@ -24,7 +24,9 @@
 	silenceCheckInterval = 150 * time.Millisecond
 	// maxQueuedBytes limits the bytes queued for writing; above it, the other daemon is not reading.
 	maxQueuedBytes = 16 << 20
-	// writeTimeout limits one write to a daemon that does not read.
+	// maxWriteBytes limits one write.
+	maxWriteBytes = 64 << 10
+	// writeTimeout limits the write of maxWriteBytes to a daemon that does not read.
 	writeTimeout = 5 * time.Second
 	// cancelReplyTimeout is how long a cancelled call waits for its outcome: a round trip between regions and
 	// a stop of 100 ms by a processor quota.
@@ -78,10 +80,10 @@
 	end          shutdown
 	pinged       bool
 	silent       bool
-	confirming   chan struct{} // closed when the next frame arrives; nil: no Confirm waits
+	confirming   chan struct{} // closed when the next bytes arrive; nil: no Confirm waits
 	waitingSince time.Time     // when the first of the waiting calls started
 	silenceTimer *time.Timer   // runs checkSilence while calls wait
-	lastReceived atomic.Int64  // when the last frame arrived, as duration since start
+	lastReceived atomic.Int64  // when the last bytes arrived or a frame was complete, as duration since start
 	start        time.Time
 }
 
@@ -104,7 +106,19 @@
 // RemoteAddr returns the address of the other daemon.
 func (c *Conn) RemoteAddr() net.Addr { return c.nc.RemoteAddr() }
 
-// recordReceived records that a frame has arrived.
+// receiver reads from a Conn's connection. The parts of a large frame show that the other daemon is there.
+type receiver struct{ c *Conn }
+
+// Read reads from the connection.
+func (r receiver) Read(b []byte) (int, error) {
+	n, err := r.c.nc.Read(b)
+	if n > 0 {
+		r.c.recordReceived()
+	}
+	return n, err //nolint:wrapcheck // a reader passes errors on
+}
+
+// recordReceived records that a frame, or a part of one, has arrived.
 func (c *Conn) recordReceived() {
 	c.lastReceived.Store(int64(time.Since(c.start)))
 	c.mu.Lock()
@@ -136,7 +150,7 @@
 func (c *Conn) Serve() error {
 	defer c.Close()
 	go c.writeLoop()
-	r := bufio.NewReaderSize(c.nc, 8<<10)
+	r := bufio.NewReaderSize(receiver{c}, 8<<10)
 	for {
 		payload, err := wire.ReadFrame(r)
 		if err != nil {
@@ -298,7 +312,7 @@
 		buf, answers = buf[:0], 0
 		n := 0
 		for _, o := range c.queue {
-			if len(buf) > 0 && len(buf)+len(o.frame) > 64<<10 {
+			if len(buf) > 0 && len(buf)+len(o.frame) > maxWriteBytes {
 				break
 			}
 			if w := c.waiting[o.id]; w != nil {
@@ -314,13 +328,24 @@
 		c.queue = append(c.queue[:0], c.queue[n:]...)
 		c.writing = true
 		c.mu.Unlock()
-		if err := c.nc.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		if err := c.write(buf); err != nil {
 			return
 		}
-		if _, err := c.nc.Write(buf); err != nil {
-			return
+	}
+}
+
+// write writes b. A large frame may take longer than writeTimeout over a narrow network, as long as the other daemon
+// reads.
+func (c *Conn) write(b []byte) error {
+	for part := range slices.Chunk(b, maxWriteBytes) {
+		if err := c.nc.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+			return fmt.Errorf("set write deadline: %w", err)
+		}
+		if _, err := c.nc.Write(part); err != nil {
+			return fmt.Errorf("write: %w", err)
 		}
 	}
+	return nil
 }
 
 // Call sends a call and returns the body of its answer. When ctx is done, the call is cancelled at the other
