peers: Renew a suspect daemon's servers after it reconnects

Callers kept avoiding a backend server for up to 30 s after its daemon had come back from a pause, since its daemon stayed suspect everywhere but at the forwarders of its data centre.

A daemon that connects again, or becomes or stops being a forwarder, gives only its own record a new sequence number. Forwarders of its data centre took that as the end of the suspicion and no longer asked the daemon to renew its servers. Subscribers and other data centres do not get that record, and nothing else told them. Whether the record or the request to renew came first depended on when the suspicion began within the pause.

A daemon's own record now ends the suspicion only if no server of that process is known. Otherwise the forwarder asks the daemon to renew its servers with the next heartbeat or digest, and the renewed servers end the suspicion at all daemons.

--- a/peers/fleet_test.go
+++ b/peers/fleet_test.go
@@ -218,6 +218,29 @@
 	}
 }
 
+// TestReconnectedDaemonReturns guards against a daemon that stays suspect, except at its forwarders, after it reconnects.
+func TestReconnectedDaemonReturns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := fleet(t, 32, nil)
+		defer f.Stop()
+		paused := find(f, func(d *emul.Daemon) bool {
+			return !d.Agent.IsForwarder() && !slices.Contains(d.Agent.Contacts(), d.Addr)
+		})[0]
+		isSuspect := func(want bool) func(at *emul.Daemon) bool {
+			return func(at *emul.Daemon) bool {
+				return at == paused || slices.ContainsFunc(at.Registry.Servers(paused.Service), func(s peers.Server) bool {
+					return s.Addr == paused.HTTP() && at.Registry.IsSuspect(s) == want
+				})
+			}
+		}
+		f.Net.Pause(paused.Addr, true)
+		within(t, f, 12*time.Second, "suspect", isSuspect(true))
+		f.Net.Reset(paused.Addr)
+		f.Net.Pause(paused.Addr, false)
+		within(t, f, 4*time.Second, "selected again", isSuspect(false))
+	})
+}
+
 // Guards against a daemon that left gracefully, forwarder or not, but is suspected like a
 // dead one, or is not accepted when it starts again.
 func TestLeave(t *testing.T) {
--- a/peers/registry.go
+++ b/peers/registry.go
@@ -95,7 +95,7 @@
 	if !sh.put(s, &r.totals) {
 		return false
 	}
-	r.suspects.clear(s)
+	r.endSuspicion(s)
 	r.watchMu.RLock()
 	defer r.watchMu.RUnlock()
 	for _, f := range r.watchers {
--- a/peers/suspects.go
+++ b/peers/suspects.go
@@ -89,6 +89,25 @@
 	return ok
 }
 
+// endSuspicion ends the suspicion of a daemon and its server after the new announcement s. The daemon's own record does
+// so only if it has no servers: subscribers and other data centres do not get that record, so that the forwarder has
+// to ask the daemon to renew its servers.
+func (r *Registry) endSuspicion(s Server) {
+	if s.isDaemon() && r.suspects.has(s.Control) && r.hasServers(s) {
+		return
+	}
+	r.suspects.clear(s)
+}
+
+// hasServers reports whether a server of the daemon, in the process that announced s, is known and not gone.
+func (r *Registry) hasServers(s Server) bool {
+	found := false
+	r.each(func(e entry) {
+		found = found || !e.isDaemon() && e.Control == s.Control && e.Incarnation == s.Incarnation && e.State != Gone
+	})
+	return found
+}
+
 // IsSuspect reports whether s should be avoided while other servers remain: its
 // daemon missed three heartbeats, its address refused a connection, or its whole data
 // centre cannot be reached.
