proxy: Write answers that a slow daemon has ready after their deadline

A caller whose backend server had answered in time could see its connection close without an answer. The write deadline of a call's connection is 1 s after the call's deadline.

The write deadline is now set again when an answer is about to be written, and its grace begins then if the deadline has passed. Answers that are ready in time have the same write deadline as before.

--- a/proxy/answertime_test.go
+++ b/proxy/answertime_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"testing"
 	"testing/synctest"
@@ -11,6 +12,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/marjoramcroft/marjoramcroft/emul"
 	"github.com/marjoramcroft/marjoramcroft/refuse"
 )
 
@@ -68,3 +70,40 @@
 		})
 	}
 }
+
+// TestAnswerAfterDeadline guards against a call that ends without an answer although its backend server has answered in
+// time, since the daemon is slow and writes the answer after the time in which one may be written.
+func TestAnswerAfterDeadline(t *testing.T) {
+	for name, key := range map[string]string{"call": "", "keyed call": HeaderKey + ": k\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				g := newRig(t, 1, nil)
+				defer g.close()
+				choose := g.entry.d.Choose
+				g.entry.d.Choose = func(req RouteRequest) (Pick, error) {
+					p, err := choose(req)
+					done := p.Done
+					p.Done = func(o Outcome) {
+						done(o)
+						time.Sleep(2*time.Second + 2*writeGrace) // as a process that gets no processor
+					}
+					return p, err
+				}
+				c, err := g.net.Dial(t.Context(), "tcp", "entry")
+				is.NoErr(err)
+				defer c.Close()
+				_, err = fmt.Fprintf(c, "POST /once HTTP/1.1\r\nHost: x\r\n%s: office\r\n%s: r\r\n%sContent-Length: 0\r\n\r\n",
+					HeaderMember, emul.HeaderRequest, key)
+				is.NoErr(err)
+				resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+				is.NoErr(err) // without an answer, the connection ends
+				defer resp.Body.Close()
+				body, err := io.ReadAll(resp.Body)
+				is.NoErr(err)
+				is.Equal(resp.StatusCode, http.StatusOK)
+				is.Equal(string(body), "r\n")
+			})
+		})
+	}
+}
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -148,6 +148,7 @@
 // aborted.
 func (e *Entry) answer(w http.ResponseWriter, c *call, resp *http.Response, k *bodyCopy) {
 	e.d.Stats.Inc("Entry.Answered")
+	setWriteDeadline(w, c.chain.Deadline)
 	if err := relayBody(w, resp, k); err != nil {
 		e.truncated(c, err)
 		abort(w, c.r)
