proxy: Refuse calls whose answer breaks before its body begins

A caller whose backend server beside its daemon had sent the head of an answer, in chunks or with a length above 4 KB, and then crashed or went on until the deadline, saw its connection close without a byte. The daemon had prepared the head, found no body to follow it, and aborted the connection.

The daemon now prepares the head of its answer when the first byte of the body has arrived. The head was sent with that byte before, too, so that callers get it at the same time. If no byte arrives, the caller gets AnswerLost or DeadlinePassed with an unknown outcome, as it does for a body of up to 4 KB. Entry.Answered now counts an answer with a key that broke off later, as it does one without a key.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -47,14 +47,19 @@
 	resp.Body = &notifyingBody{ReadCloser: resp.Body, onEnd: func(err error) { a.bodyEnded(ctx, err) }}
 	if err := bufferShortBody(a.c.r.Method, resp); err != nil {
 		// The headers have not been sent to the caller, so it can still get a refusal.
-		if cause := context.Cause(ctx); cause != nil {
-			return nil, contextRefusal(cause, refuse.RanUnknown)
-		}
-		return nil, refuse.New(refuse.AnswerLost, refuse.RanUnknown, err.Error())
+		return nil, bodyRefusal(ctx, err)
 	}
 	return resp, nil
 }
 
+// bodyRefusal returns the refusal for a call of which err broke the response body.
+func bodyRefusal(ctx context.Context, err error) *refuse.Refusal {
+	if cause := context.Cause(ctx); cause != nil {
+		return contextRefusal(cause, refuse.RanUnknown)
+	}
+	return refuse.New(refuse.AnswerLost, refuse.RanUnknown, err.Error())
+}
+
 func (a *attempt) report(o Outcome) {
 	o.Latency, o.Waiting = a.latency, a.waiting
 	a.pick.Done(o)
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -87,7 +87,7 @@
 		return
 	}
 	defer resp.Body.Close()
-	e.answer(w, c, resp, nil)
+	e.answer(w, c, resp)
 }
 
 // resolve determines member, route, depth and deadline of a call from one snapshot of the
@@ -146,10 +146,20 @@
 
 // answer sends the response to the caller. If it cannot be sent whole, the connection is
 // aborted.
-func (e *Entry) answer(w http.ResponseWriter, c *call, resp *http.Response, k *bodyCopy) {
-	e.d.Stats.Inc("Entry.Answered")
+func (e *Entry) answer(w http.ResponseWriter, c *call, resp *http.Response) {
 	setWriteDeadline(w, c.chain.Deadline)
-	if err := relayBody(w, resp, k); err != nil {
+	e.endAnswer(w, c, relayBody(w, resp, nil))
+}
+
+// endAnswer ends a response whose sending ended with err.
+func (e *Entry) endAnswer(w http.ResponseWriter, c *call, err error) {
+	if errors.Is(err, errNoBody) {
+		c.prepareReply(w)
+		e.refuse(w, e.finalRefusal(c, bodyRefusal(c.ctx, err)))
+		return
+	}
+	e.d.Stats.Inc("Entry.Answered")
+	if err != nil {
 		e.truncated(c, err)
 		abort(w, c.r)
 	}
--- a/proxy/keyed.go
+++ b/proxy/keyed.go
@@ -60,11 +60,7 @@
 		_ = http.NewResponseController(w).Flush()
 	}
 	e.finish(c, req, k.answer(status, header))
-	if err != nil {
-		e.truncated(c, err)
-		abort(w, c.r)
-	}
-	e.d.Stats.Inc("Entry.Answered")
+	e.endAnswer(w, c, err)
 }
 
 // finish records the outcome at the key's home, even if the call's context has ended.
@@ -92,5 +88,5 @@
 	e.answer(w, c, &http.Response{
 		StatusCode: ans.Status, Header: ans.Header.Clone(), ContentLength: int64(len(ans.Body)),
 		Body: io.NopCloser(bytes.NewReader(ans.Body)),
-	}, nil)
+	})
 }
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -11,8 +11,12 @@
 	"github.com/marjoramcroft/marjoramcroft/refuse"
 )
 
-// errTruncated marks a response body that ended before its declared length.
-var errTruncated = errors.New("truncated response")
+// Errors of a response body that ended early. With errNoBody nothing of the response was written, so that its reader can
+// still get a refusal.
+var (
+	errTruncated = errors.New("truncated response")
+	errNoBody    = fmt.Errorf("%w before the first byte of the body", errTruncated)
+)
 
 // bodyCopy keeps a copy of a response body of up to MaxStored bytes.
 type bodyCopy struct {
@@ -78,6 +82,17 @@
 }
 
 func relayBody(w http.ResponseWriter, resp *http.Response, k *bodyCopy) error {
+	if err := copyBody(w, resp, k); err != nil {
+		return err
+	}
+	h := w.Header()
+	for name, vs := range resp.Trailer {
+		h[http.TrailerPrefix+name] = vs
+	}
+	return nil
+}
+
+func writeHead(w http.ResponseWriter, resp *http.Response) {
 	h := w.Header()
 	for name, vs := range resp.Header {
 		h[name] = vs
@@ -88,17 +103,10 @@
 	// The request body may still be arriving.
 	_ = http.NewResponseController(w).EnableFullDuplex()
 	w.WriteHeader(resp.StatusCode)
-	if err := copyBody(w, resp, k); err != nil {
-		return err
-	}
-	for name, vs := range resp.Trailer {
-		h[http.TrailerPrefix+name] = vs
-	}
-	return nil
 }
 
-// copyBody copies the body through a pooled buffer. A body of unknown length is flushed after
-// each read, since its parts may be far apart in time.
+// copyBody writes the head after the first read of the body, and copies the body through a pooled buffer. A body of
+// unknown length is flushed after each read, since its parts may be far apart in time.
 func copyBody(w http.ResponseWriter, resp *http.Response, k *bodyCopy) error {
 	pool := &copyBuffers
 	if resp.ContentLength >= 0 && resp.ContentLength <= MaxStored {
@@ -107,8 +115,14 @@
 	buf := pool.Get().(*[]byte)
 	defer pool.Put(buf)
 	var writeErr error // error of writing to w
-	for {
+	for begun := false; ; begun = true {
 		n, err := resp.Body.Read(*buf)
+		if !begun {
+			if n == 0 && err != nil && err != io.EOF { //nolint:errorlint // a wrapped io.EOF is no regular end
+				return fmt.Errorf("%w: %w", errNoBody, err)
+			}
+			writeHead(w, resp)
+		}
 		if n > 0 {
 			k.add((*buf)[:n])
 			if writeErr == nil {
