proxy: Refuse calls whose backend server answers with a status below 100

A caller whose backend server beside its daemon answered with a status such as 042 saw its connection close without an answer: net/http reads each status of three digits, but panics when a handler writes one below 100. A daemon that forwarded the call to the backend server got no answer either and refused it.

Such an answer is now refused with AnswerLost and an unknown outcome, as 101 is.

--- a/proxy/targetcall.go
+++ b/proxy/targetcall.go
@@ -223,8 +223,9 @@
 	if !lengthKnown(c.method, resp) {
 		return refuse.New(refuse.AnswerLost, refuse.RanUnknown, "the response has neither length nor chunks")
 	}
-	if resp.StatusCode == http.StatusSwitchingProtocols {
-		return refuse.New(refuse.AnswerLost, refuse.RanUnknown, "the backend server switched protocols")
+	// 101 would switch protocols; net/http panics at a status below 100.
+	if resp.StatusCode < http.StatusOK {
+		return refuse.New(refuse.AnswerLost, refuse.RanUnknown, fmt.Sprintf("the backend server answered with status %d", resp.StatusCode))
 	}
 	return nil
 }
