proxy: Send the start of an answer that breaks off

A caller whose backend server beside its daemon broke off an answer of a length above 4 KB within its first few KB saw its connection close without a byte, although the daemon had the head and the start of the body: they were still in the buffers of net/http. Clients, such as net/http's, send some requests again when a kept connection closes without a byte of an answer, since they take them for not received.

TestCutAnswerShowsItsStart failed before (status 0, EOF), and passes 200 of 200 times with -race.

The daemon now flushes what it has before it aborts the connection, so that the caller sees an answer that was cut. A daemon that forwards the call to the backend server still aborts without a flush: the caller's daemon then has nothing and refuses the call.

--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -161,6 +161,8 @@
 	e.d.Stats.Inc("Entry.Answered")
 	if err != nil {
 		e.truncated(c, err)
+		// Clients send some requests again that got no byte of an answer. It fails if the caller has disconnected.
+		_ = http.NewResponseController(w).Flush()
 		abort(w, c.r)
 	}
 }
