--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -87,7 +87,7 @@
 		return
 	}
 	defer resp.Body.Close()
-	e.answer(w, c, resp, nil)
+	e.answer(w, c, resp)
 }
 
 // resolve determines member, route, depth and deadline of a call from one snapshot of the
@@ -146,10 +146,23 @@
 
 // answer sends the response to the caller. If it cannot be sent whole, the connection is
 // aborted.
-func (e *Entry) answer(w http.ResponseWriter, c *call, resp *http.Response, k *bodyCopy) {
+func (e *Entry) answer(w http.ResponseWriter, c *call, resp *http.Response) {
+	setWriteDeadline(w, c.chain.Deadline)
+	e.endAnswer(w, c, relayBody(w, resp, nil))
+}
+
+// endAnswer ends a response whose sending ended with err.
+func (e *Entry) endAnswer(w http.ResponseWriter, c *call, err error) {
+	if errors.Is(err, errNoBody) {
+		c.prepareReply(w)
+		e.refuse(w, e.finalRefusal(c, bodyRefusal(c.ctx, err)))
+		return
+	}
 	e.d.Stats.Inc("Entry.Answered")
-	if err := relayBody(w, resp, k); err != nil {
+	if err != nil {
 		e.truncated(c, err)
+		// Clients send some requests again that got no byte of an answer. It fails if the caller has disconnected.
+		_ = http.NewResponseController(w).Flush()
 		abort(w, c.r)
 	}
 }
