platform, mesh, link: Bound the memory of requests in progress

A daemon on a small VM could be killed at its memory limit, with all requests in flight: each answer that it read from its backend server counted against a budget, but request bodies, calls of other daemons, answers that callers do not read and frames in the queues of links did not. 200 callers with bodies of 1 MB took 227 MB, 50 that do not read an answer of 6 MB took 350 MB for as long as they kept their connections. A link also kept a write buffer of the size of the largest frame that it had carried.

What can't be refused any more, an answer or a queued frame, is counted in any case. A link drops write buffers above 128 KB.

errNoBodyMemory is exported; its test is otherwise unchanged.

--- a/event/mesh.go
+++ b/event/mesh.go
@@ -11,6 +11,7 @@
 	TargetExchangeFailed ID = 805
 	CallUnencodable      ID = 806
 	CallerCut            ID = 807
+	MemoryFull           ID = 808
 	BackendChanged       ID = 810
 	BackendReplaced      ID = 811
 	BackendUnreachable   ID = 812
@@ -45,6 +46,7 @@
 	TargetExchangeFailed: {log.WarnLevel, "exchange with the backend server failed"},
 	CallUnencodable:      {log.ErrorLevel, "message cannot be encoded"},
 	CallerCut:            {log.WarnLevel, "caller's connection ended by the daemon during a request"},
+	MemoryFull:           {log.WarnLevel, "request refused, the memory for requests is in use"},
 	BackendChanged:       {log.InfoLevel, "backend server changed its state"},
 	BackendReplaced:      {log.WarnLevel, "another backend server has the address"},
 	BackendUnreachable:   {log.WarnLevel, "backend server accepts no connection"},
--- a/link/conn.go
+++ b/link/conn.go
@@ -24,6 +24,11 @@
 	silenceCheckInterval = 150 * time.Millisecond
 	// maxQueuedBytes limits the bytes queued for writing; above it, the other daemon is not reading.
 	maxQueuedBytes = 16 << 20
+	// maxBatchBytes limits the frames that are written at once, if there are several.
+	maxBatchBytes = 64 << 10
+	// maxKeptBytes limits the write buffer that is kept. A buffer of the size of a large answer on each link would fill
+	// the memory of a small VM.
+	maxKeptBytes = 2 * maxBatchBytes
 	// writeTimeout limits one write to a daemon that does not read.
 	writeTimeout = 5 * time.Second
 	// cancelReplyTimeout is how long a cancelled call waits for its outcome: a round trip between regions and
@@ -41,6 +46,9 @@
 	Notice func(c *Conn, body []byte)
 	// Busy answers calls above the number that is handled at once. They do not run.
 	Busy []byte
+	// Queued is told by how much the bytes that wait to be written grow, or shrink; nil: it is not. It must not call the
+	// Conn.
+	Queued func(n int64)
 }
 
 // queuedFrame is an encoded frame waiting to be written.
@@ -128,10 +136,19 @@
 		delete(c.waiting, id)
 	}
 	c.queue = nil
+	c.addQueued(-c.queuedBytes)
 	c.queueReady.Broadcast()
 	c.endConfirm()
 }
 
+// addQueued records that n more bytes wait to be written. The caller holds c.mu.
+func (c *Conn) addQueued(n int) {
+	c.queuedBytes += n
+	if c.h.Queued != nil {
+		c.h.Queued(int64(n))
+	}
+}
+
 // Serve reads and writes until the connection is closed, and returns the read error.
 func (c *Conn) Serve() error {
 	defer c.Close()
@@ -243,7 +260,7 @@
 		return
 	}
 	c.queue = slices.Insert(c.queue, 0, queuedFrame{frame: b, answer: true})
-	c.queuedBytes += len(b)
+	c.addQueued(len(b))
 	c.queueReady.Signal()
 }
 
@@ -273,7 +290,7 @@
 		return false
 	}
 	c.queue = append(c.queue, queuedFrame{frame: b, id: id, answer: f.Kind == kindAnswer})
-	c.queuedBytes += len(b)
+	c.addQueued(len(b))
 	c.queueReady.Signal()
 	return true
 }
@@ -298,7 +315,7 @@
 		buf, answers = buf[:0], 0
 		n := 0
 		for _, o := range c.queue {
-			if len(buf) > 0 && len(buf)+len(o.frame) > 64<<10 {
+			if len(buf) > 0 && len(buf)+len(o.frame) > maxBatchBytes {
 				break
 			}
 			if w := c.waiting[o.id]; w != nil {
@@ -308,7 +325,7 @@
 			if o.answer {
 				answers++
 			}
-			c.queuedBytes -= len(o.frame)
+			c.addQueued(-len(o.frame))
 			n++
 		}
 		c.queue = append(c.queue[:0], c.queue[n:]...)
@@ -320,6 +337,9 @@
 		if _, err := c.nc.Write(buf); err != nil {
 			return
 		}
+		if cap(buf) > maxKeptBytes {
+			buf = nil
+		}
 	}
 }
 
@@ -405,7 +425,7 @@
 	delete(c.waiting, id)
 	for i, o := range c.queue {
 		if o.id == id {
-			c.queuedBytes -= len(o.frame)
+			c.addQueued(-len(o.frame))
 			c.queue = append(c.queue[:i], c.queue[i+1:]...)
 			break
 		}
--- a/link/shutdown.go
+++ b/link/shutdown.go
@@ -64,7 +64,7 @@
 		if w == nil {
 			return false
 		}
-		c.queuedBytes -= len(o.frame)
+		c.addQueued(-len(o.frame))
 		close(w.answer)
 		delete(c.waiting, o.id)
 		return true
--- a/mesh/config.go
+++ b/mesh/config.go
@@ -27,6 +27,9 @@
 	MaxBody int64
 	// BodyMemory limits the memory of all response bodies that are being read, in bytes.
 	BodyMemory int64
+	// RequestMemory limits the memory of requests in progress, with the answers and frames that wait to be written, in
+	// bytes. Further requests are refused.
+	RequestMemory int64
 }
 
 // DefaultConfig returns the default settings.
@@ -40,6 +43,7 @@
 		Retries:          retry.SharedBudgetLimits{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
 		MaxBody:          7 << 20,
 		BodyMemory:       64 << 20,
+		RequestMemory:    64 << 20,
 	}
 }
 
--- a/mesh/target.go
+++ b/mesh/target.go
@@ -17,14 +17,34 @@
 func (n *Node) handleCall(ctx context.Context, _ *link.Conn, body []byte) []byte {
 	var r request
 	out := &reply{Outcome: rejected, Reason: refuse.BadRequest}
+	memory := n.requests.Hold()
+	defer memory.Release()
 	if err := wire.Decode(body, &r); err != nil {
 		out.Detail = err.Error()
+	} else if !memory.Take(int64(len(body))) {
+		a := n.RefuseForMemory(r.ID, int64(len(body)))
+		out = rejection(a.Refusal)
+		out.Wait = a.RetryAfter
 	} else {
 		out = n.run(ctx, &r)
 	}
 	return n.encodeReply(r.ID, out)
 }
 
+// memoryRetry is the suggested retry delay for a request that could not be held. Most requests end within it.
+const memoryRetry = 200 * time.Millisecond
+
+// HoldMemory returns the memory of a request, which is empty. A request that can't be held gets RefuseForMemory.
+func (n *Node) HoldMemory() *origin.Memory { return n.requests.Hold() }
+
+// RefuseForMemory records and returns the refusal of the request id, for which size bytes are not available.
+func (n *Node) RefuseForMemory(id string, size int64) *Answer {
+	a := refused(refuse.MemoryFull, "the memory for requests is in use", memoryRetry)
+	n.d.Stats.Refused(a.Refusal)
+	n.d.Log.Emit(event.MemoryFull, "Call", id, "Bytes", size, "RetryAfter", memoryRetry)
+	return a
+}
+
 // encodeReply returns the encoded reply to the request with id; nil if it can't be encoded.
 func (n *Node) encodeReply(id string, r *reply) []byte {
 	b, err := wire.Encode(r)
--- a/origin/conn.go
+++ b/origin/conn.go
@@ -118,7 +118,7 @@
 		}
 		// The body is not closed: Close would read an endless one to its end. It holds no resources besides c.
 		body, err := readBody(hr.Body, hr.ContentLength, c.bodies)
-		if errors.Is(err, errBodyTooLong) || errors.Is(err, errNoBodyMemory) {
+		if errors.Is(err, errBodyTooLong) || errors.Is(err, ErrNoBodyMemory) {
 			err = fmt.Errorf("%w: %w", ErrInvalidAnswer, err)
 		}
 		if err != nil {
--- a/origin/endless_test.go
+++ b/origin/endless_test.go
@@ -106,7 +106,7 @@
 	b := NewBodyBudget(1 << 20)
 	body := bytes.Repeat([]byte("x"), 600<<10)
 	_, err := readBody(bytes.NewReader(body), int64(len(body)), b)
-	is.True(errors.Is(err, errNoBodyMemory)) // the last buffer and its copy together exceed the limit
+	is.True(errors.Is(err, ErrNoBodyMemory)) // the last buffer and its copy together exceed the limit
 	is.Equal(b.used.Load(), int64(0))
 	body = body[:300<<10]
 	got, err := readBody(bytes.NewReader(body), -1, b)
@@ -115,7 +115,7 @@
 	is.Equal(b.used.Load(), int64(0))
 	is.True(b.take(900 << 10)) // other requests
 	_, err = readBody(bytes.NewReader(body), -1, b)
-	is.True(errors.Is(err, errNoBodyMemory))
+	is.True(errors.Is(err, ErrNoBodyMemory))
 	is.Equal(b.used.Load(), int64(900<<10))
 }
 
--- a/origin/limit.go
+++ b/origin/limit.go
@@ -21,9 +21,11 @@
 	errHeadTooLong    = errors.New("head too long")
 	errBodyTooLong    = errors.New("body too long")
 	errTooManyInterim = errors.New("too many interim answers")
-	errNoBodyMemory   = errors.New("memory for bodies is in use")
 )
 
+// ErrNoBodyMemory means that too much of a BodyBudget is in use.
+var ErrNoBodyMemory = errors.New("memory for bodies is in use")
+
 // headLimiter limits the bytes that are read from a connection until the limit is lifted.
 type headLimiter struct {
 	r       io.Reader
@@ -50,7 +52,7 @@
 	return n, err //nolint:wrapcheck // a reader passes errors on
 }
 
-// BodyBudget limits the memory of all response bodies that are being read. Its methods are safe for concurrent
+// BodyBudget limits the memory of bodies. Its methods are safe for concurrent
 // use.
 type BodyBudget struct {
 	limit int64 // bytes
@@ -78,24 +80,43 @@
 	}
 }
 
-// bodyChunkBytes is the size of the first buffer of a body, which is doubled as data arrives.
-const bodyChunkBytes = 4 << 10
+// Add counts n bytes that are held in any case; negative: no longer held.
+func (b *BodyBudget) Add(n int64) { b.release(-n) }
 
-// readBody reads a body of at most MaxResponseBytes. The bytes count against b while they are read.
-func readBody(r io.Reader, length int64, b *BodyBudget) ([]byte, error) {
-	if length > MaxResponseBytes {
-		return nil, errBodyTooLong
-	}
-	size := int64(bodyChunkBytes)
-	if length >= 0 {
-		size = min(length+1, size) // one more byte, so that the read that meets the end needs no larger buffer
+// Hold returns an empty Memory of b.
+func (b *BodyBudget) Hold() *Memory { return &Memory{b: b} }
+
+// Memory is what one request holds of a BodyBudget. It is not safe for concurrent use.
+type Memory struct {
+	b *BodyBudget
+	n int64
+}
+
+// Take holds n more bytes, and reports whether they were available.
+func (m *Memory) Take(n int64) bool {
+	if !m.b.take(n) {
+		return false
 	}
-	if !b.take(size) {
-		return nil, errNoBodyMemory
+	m.n += n
+	return true
+}
+
+// Add holds n more bytes in any case. Until they are released, others may find none available.
+func (m *Memory) Add(n int64) {
+	m.b.Add(n)
+	m.n += n
+}
+
+// Release releases all that is held.
+func (m *Memory) Release() { m.Add(-m.n) }
+
+// Read reads a body that ends after fewer than most bytes, into a buffer that has first bytes at the beginning and is
+// doubled as data arrives. It holds the memory of the buffer.
+func (m *Memory) Read(r io.Reader, first, most int64) ([]byte, error) {
+	if !m.Take(first) {
+		return nil, ErrNoBodyMemory
 	}
-	reserved := size
-	defer func() { b.release(reserved) }()
-	out := make([]byte, 0, size)
+	out := make([]byte, 0, first)
 	for {
 		n, err := r.Read(out[len(out):cap(out)])
 		out = out[:len(out)+n]
@@ -105,22 +126,37 @@
 		if err != nil {
 			return nil, err //nolint:wrapcheck // the caller adds the context
 		}
-		if len(out) > MaxResponseBytes {
-			return nil, errBodyTooLong
-		}
 		if len(out) < cap(out) {
 			continue
 		}
-		next := min(2*int64(cap(out)), MaxResponseBytes+1)
-		if length >= 0 {
-			next = min(next, length+1)
+		next := min(2*int64(cap(out)), most)
+		if next <= int64(len(out)) {
+			return nil, errBodyTooLong
 		}
-		if !b.take(next) {
-			return nil, errNoBodyMemory
+		if !m.Take(next) {
+			return nil, ErrNoBodyMemory
 		}
 		grown := make([]byte, len(out), next)
 		copy(grown, out)
-		b.release(reserved)
-		out, reserved = grown, next
+		m.Add(-int64(cap(out)))
+		out = grown
+	}
+}
+
+// BodyChunkBytes is the size of the first buffer of a body of unknown length.
+const BodyChunkBytes = 4 << 10
+
+// readBody reads a body of at most MaxResponseBytes. The bytes count against b while they are read.
+func readBody(r io.Reader, length int64, b *BodyBudget) ([]byte, error) {
+	if length > MaxResponseBytes {
+		return nil, errBodyTooLong
+	}
+	first, most := int64(BodyChunkBytes), int64(MaxResponseBytes+1)
+	if length >= 0 {
+		most = length + 1 // one more byte, so that the read that meets the end needs no larger buffer
+		first = min(first, most)
 	}
+	m := b.Hold()
+	defer m.Release()
+	return m.Read(r, first, most)
 }
--- a/refuse/reason.go
+++ b/refuse/reason.go
@@ -33,6 +33,7 @@
 	AnswerNotKept      Reason = "AnswerNotKept"
 	Cancelled          Reason = "Cancelled"
 	BadRequest         Reason = "BadRequest"
+	MemoryFull         Reason = "MemoryFull"
 )
 
 // statuses maps each reason to its HTTP status.
@@ -59,6 +60,7 @@
 	AnswerNotKept:      http.StatusConflict,
 	Cancelled:          499,
 	BadRequest:         http.StatusBadRequest,
+	MemoryFull:         http.StatusServiceUnavailable,
 }
 
 // Status returns the HTTP status of r, or 500 for an unknown reason.
