peers: Leave out suspicions that ended before they were sent

A daemon that announced itself within 50 ms after a forwarder suspected it stayed suspect for up to 30 s at all receivers of that forwarder, which itself selected it and so did not ask it to renew its servers.

The changes for a connection are sent every 50 ms, servers first, then suspicions. A suspicion that was queued before the announcement that ended it was sent after it.

The queue leaves out suspicions that have ended when it is sent; the announcement that ended them is in the same or the next message.

--- a/peers/link.go
+++ b/peers/link.go
@@ -23,7 +23,7 @@
 }
 
 func newLink(a *Agent, t target) *link {
-	return &link{a: a, t: t, outbox: newOutbox(), compareSoon: make(chan struct{}, 1)}
+	return &link{a: a, t: t, outbox: newOutbox(a.d.Registry.suspects.has), compareSoon: make(chan struct{}, 1)}
 }
 
 func (k *link) get() target {
--- a/peers/outbox.go
+++ b/peers/outbox.go
@@ -12,15 +12,16 @@
 // outbox queues the changes for one connection. Of several changes to a server only the
 // last is kept, so that the size is bounded by that of the registry.
 type outbox struct {
-	wake chan struct{}
+	wake      chan struct{}
+	suspected func(ident.Addr) bool // reports whether a daemon is suspect here
 
 	mu       sync.Mutex
 	rows     map[key]Server
 	suspects []Suspect
 }
 
-func newOutbox() *outbox {
-	return &outbox{wake: make(chan struct{}, 1), rows: map[key]Server{}}
+func newOutbox(suspected func(ident.Addr) bool) *outbox {
+	return &outbox{wake: make(chan struct{}, 1), suspected: suspected, rows: map[key]Server{}}
 }
 
 func (o *outbox) add(s Server) {
@@ -57,7 +58,8 @@
 	return rows, suspects
 }
 
-// flush sends the queued changes.
+// flush sends the queued changes. It leaves out suspicions that have ended since: the announcement that ended them is
+// sent first.
 func (o *outbox) flush(c *wire.Conn, from ident.DataCentre) error {
 	rows, suspects := o.take()
 	if len(rows) > 0 {
@@ -67,6 +69,9 @@
 		}
 	}
 	for _, s := range suspects {
+		if !o.suspected(s.Control) {
+			continue
+		}
 		s.From = from
 		if err := c.Notify(TypeSuspect, s); err != nil {
 			return err
--- a/peers/subscribers.go
+++ b/peers/subscribers.go
@@ -38,7 +38,7 @@
 		sub.services, sub.differs = services, 0
 		return
 	}
-	sub := &subscriber{outbox: newOutbox(), services: services}
+	sub := &subscriber{outbox: newOutbox(s.a.d.Registry.suspects.has), services: services}
 	s.m[c] = sub
 	go func() {
 		sub.outbox.run(context.Background(), c, "")
