--- a/daemon/main.go
+++ b/daemon/main.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"io"
+	stdlog "log"
 	"net/http"
 
 	"github.com/marjoramcroft/marjoramcroft/config"
@@ -40,6 +41,8 @@
 	}
 	out := event.NewDroppingWriter(stderr) // calls must not wait for the reader of the log
 	defer out.Close()
+	defer stdlog.SetOutput(stdlog.Writer())
+	stdlog.SetOutput(out) // used by net/http and wire.RetryAccept
 	log := event.New(out, settings.Log.Level)
 	d, err := New(Deps{
 		Settings: settings, Driver: store.NewHTTP(settings.Store.Endpoint, &http.Client{}), Log: log, Stats: stats.New(),
--- a/daemon/main_test.go
+++ b/daemon/main_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"log"
 	"testing"
 	"time"
 
@@ -36,3 +37,31 @@
 		t.Fatal("the daemon has not stopped")
 	}
 }
+
+// TestBlockedStandardLog guards against a pool of connections that hangs with all its calls, as net/http logs an answer
+// that nobody asked for while it holds the lock of the connection, and nobody reads the log.
+func TestBlockedStandardLog(t *testing.T) {
+	is := is.New(t)
+	out := log.Writer()
+	t.Cleanup(func() { log.SetOutput(out) })
+	log.SetOutput(blockedWriter{t.Context().Done()})
+	ctx, cancel := context.WithCancel(t.Context())
+	code := make(chan int, 1)
+	go func() {
+		args := []string{"-listen.http", "127.0.0.1:0", "-listen.control", "127.0.0.1:0", "-stop.notice", "0s"}
+		code <- Main(ctx, args, io.Discard, blockedWriter{t.Context().Done()})
+	}()
+	time.Sleep(200 * time.Millisecond)
+	logged := make(chan struct{})
+	go func() {
+		defer close(logged)
+		log.Print("unsolicited response")
+	}()
+	select {
+	case <-logged:
+	case <-time.After(5 * time.Second):
+		t.Fatal("still logging")
+	}
+	cancel()
+	is.Equal(<-code, exitOK)
+}
