proxy: Refuse calls whose body a slow daemon reads after their deadline

A caller that had sent its request could see its connection close without an answer if the daemon was paused, or got no processor, while it read the body. At the deadline of the call the body can no longer be read, and 1 s later the refusal can no longer be written.

The write deadline is now set again before this refusal, too, and its grace begins then if the deadline has passed.

--- a/proxy/answertime_test.go
+++ b/proxy/answertime_test.go
@@ -107,3 +107,40 @@
 		})
 	}
 }
+
+// slowBody is a request body that takes a time to read.
+type slowBody struct {
+	io.ReadCloser
+	takes time.Duration
+}
+
+func (b slowBody) Read(p []byte) (int, error) {
+	time.Sleep(b.takes)
+	return b.ReadCloser.Read(p)
+}
+
+// TestBodyReadAfterDeadline guards against a call that ends without an answer, since the daemon is slow and comes to read
+// the body after the time in which an answer may be written.
+func TestBodyReadAfterDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := newRig(t, 1, nil)
+		defer g.close()
+		g.serve("slow", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			r.Body = slowBody{r.Body, 2*time.Second + 2*writeGrace}
+			g.entry.ServeHTTP(w, r)
+		}))
+		c, err := g.net.Dial(t.Context(), "tcp", "slow")
+		is.NoErr(err)
+		defer c.Close()
+		_, err = fmt.Fprintf(c, "POST /once HTTP/1.1\r\nHost: x\r\n%s: office\r\n%s: r\r\nContent-Length: 4\r\n\r\nbo",
+			HeaderMember, emul.HeaderRequest)
+		is.NoErr(err)
+		go func() { _, _ = io.WriteString(c, "dy") }() // in a packet of its own
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		is.NoErr(err) // without an answer, the connection ends
+		defer resp.Body.Close()
+		is.Equal(refuse.FromResponse(resp.Header), refuse.New(refuse.DeadlinePassed, refuse.RanNo, ""))
+		is.Equal(g.runs("r"), 0)
+	})
+}
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -70,6 +70,7 @@
 	c.ctx = ctx
 	setIODeadlines(w, r, c.chain.Deadline)
 	if ref := c.readBody(w); ref != nil {
+		setWriteDeadline(w, c.chain.Deadline)
 		e.refuse(w, ref)
 		return
 	}
