proxy: Give a slow daemon time to write a response that it has

A caller could see its connection close without an answer if its daemon got no processor for 1 s while it wrote a refusal.

The grace of 1 s after the deadline is for a reader that is slow.

--- a/proxy/answertime_test.go
+++ b/proxy/answertime_test.go
@@ -144,3 +144,43 @@
 		is.Equal(g.runs("r"), 0)
 	})
 }
+
+// slowWriter is a response writer that takes a time to write.
+type slowWriter struct {
+	http.ResponseWriter
+	takes time.Duration
+}
+
+func (w slowWriter) WriteHeader(status int) {
+	time.Sleep(w.takes)
+	w.ResponseWriter.WriteHeader(status)
+}
+
+func (w slowWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// TestSlowWrite guards against a call that ends without an answer, since a daemon on a busy machine takes longer to write
+// a response that it has at hand than a reader may take to read one after the deadline.
+func TestSlowWrite(t *testing.T) {
+	tests := map[string]struct {
+		path   string
+		status int
+	}{
+		"answer at the deadline":  {path: "/once?time=1900ms", status: http.StatusOK},
+		"refusal at the deadline": {path: "/once?time=3s", status: refuse.AnswerLost.Status()},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				g := newRig(t, 1, nil)
+				defer g.close()
+				g.serve("slow", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					g.entry.ServeHTTP(slowWriter{w, 2 * writeGrace}, r)
+				}))
+				got := g.callAt(t.Context(), "slow", http.MethodPost, tt.path, "r", nil)
+				is.NoErr(got.err) // without an answer, the connection ends
+				is.Equal(got.status, tt.status)
+			})
+		})
+	}
+}
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -57,6 +57,15 @@
 // later than at the deadline, for example when the home of its key did not respond.
 func (c *call) prepareReply(w http.ResponseWriter) {
 	c.drainBody(w)
+	setReplyDeadline(w)
+}
+
+// prepareAnswer prepares w for resp, which may come late from a slow daemon.
+func (c *call) prepareAnswer(w http.ResponseWriter, resp *http.Response) {
+	if resp.ContentLength >= 0 && resp.ContentLength <= MaxStored {
+		setReplyDeadline(w)
+		return
+	}
 	setWriteDeadline(w, c.chain.Deadline)
 }
 
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -70,7 +70,7 @@
 	c.ctx = ctx
 	setIODeadlines(w, r, c.chain.Deadline)
 	if ref := c.readBody(w); ref != nil {
-		setWriteDeadline(w, c.chain.Deadline)
+		setReplyDeadline(w)
 		e.refuse(w, ref)
 		return
 	}
@@ -148,7 +148,7 @@
 // answer sends the response to the caller. If it cannot be sent whole, the connection is
 // aborted.
 func (e *Entry) answer(w http.ResponseWriter, c *call, resp *http.Response) {
-	setWriteDeadline(w, c.chain.Deadline)
+	c.prepareAnswer(w, resp)
 	e.endAnswer(w, c, relayBody(w, resp, nil))
 }
 
--- a/proxy/keyed.go
+++ b/proxy/keyed.go
@@ -53,7 +53,7 @@
 	defer resp.Body.Close()
 	k := &bodyCopy{}
 	status, header := resp.StatusCode, resp.Header.Clone()
-	setWriteDeadline(w, c.chain.Deadline)
+	c.prepareAnswer(w, resp)
 	err := relayBody(w, resp, k)
 	if err == nil {
 		// Flushes now, so that the caller does not wait for the key's home.
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -157,8 +157,8 @@
 	return nil
 }
 
-// writeGrace is the time after the deadline in which a refusal or the last bytes of a
-// response may still be written to a slow reader.
+// writeGrace is the time after the deadline in which the last bytes of a response may still be
+// written to a slow reader.
 const writeGrace = time.Second
 
 // setIODeadlines limits the time in which the peer sends the request and reads the response.
@@ -180,6 +180,15 @@
 	_ = http.NewResponseController(w).SetWriteDeadline(deadline.Add(writeGrace))
 }
 
+// replyTimeout limits the time to write a response that is at hand, such as a refusal. It fits into the buffers of the
+// connection, so that the write waits for a processor rather than for the reader.
+const replyTimeout = 5 * time.Second
+
+// setReplyDeadline sets the write deadline for a response that is at hand.
+func setReplyDeadline(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(replyTimeout))
+}
+
 // clearReadDeadline removes the read deadline once the request has been read: an expired one
 // would be taken for a caller that has disconnected.
 func clearReadDeadline(w http.ResponseWriter, r *http.Request) {
