quota: Ask a new keeper for its list after a Seal

A holder could keep the list of an earlier keeper for as long as the new keeper's state did not change. It then used the base shares of the old list and did not acknowledge the new one, so that units of holders that joined or left stayed unused.

A holder names the state of the list that it has with each Sync, and gets a list only if epoch or state differ. Each keeper counts the states of its own term from 1. A Seal set the new epoch at the holder but left the state of the old term, which the new keeper took for its own if the numbers were the same.

A holder that accepts a new keeper's Seal now has no state, and gets the list.

--- a/quota/holderleave.go
+++ b/quota/holderleave.go
@@ -22,6 +22,7 @@
 	}
 	if m.Epoch > h.epoch {
 		h.epoch, h.keeper, h.failures = m.Epoch, m.Keeper, 0
+		h.state = 0 // each keeper counts the states of its own term
 		h.numbers.reset()
 		h.seq++ // invalidates the answer to a Sync in flight
 	}
--- a/quota/holdersync_test.go
+++ b/quota/holdersync_test.go
@@ -73,3 +73,24 @@
 		})
 	}
 }
+
+// TestSealedHolderGetsList guards against a holder that keeps an old list because the new keeper counts the same state.
+func TestSealedHolderGetsList(t *testing.T) {
+	is := is.New(t)
+	addrs := []ident.Addr{"vm-01:7000", "vm-02:7000"}
+	h := NewHolder(HolderDeps{Service: testService, Addr: addrs[0], Incarnation: 1, Clock: SystemClock(), Stats: stats.New()})
+	for epoch := uint64(1); epoch <= 2; epoch++ {
+		k := NewKeeper(KeeperDeps{Service: testService, Clock: SystemClock()})
+		rec := Record{Epoch: epoch, ListVersion: epoch, Holders: addrs[:epoch]}
+		k.term = &term{rec: rec, epoch: epoch, state: 2, renewed: k.d.Clock.Stamp(), peers: map[ident.Addr]*peer{}}
+		k.term.addPeer(addrs[0], 0)
+		_, err := h.handleSeal(Seal{Service: testService, Epoch: epoch, Keeper: "vm-03:7000"})
+		is.NoErr(err)
+		msg, sent, at := h.nextSync()
+		g, err := k.handleSync(sent)
+		is.NoErr(err)
+		is.NoErr(h.applyGrant(msg, sent, g, at))
+		is.Equal(h.List().Version, epoch)
+		is.Equal(h.List().Holders, addrs[:epoch])
+	}
+}
