--- a/origin/limit.go
+++ b/origin/limit.go
@@ -52,8 +52,7 @@
 	return n, err //nolint:wrapcheck // a reader passes errors on
 }
 
-// BodyBudget limits the memory of bodies. Its methods are safe for concurrent
-// use.
+// BodyBudget limits the memory of bodies. Its methods are safe for concurrent use.
 type BodyBudget struct {
 	limit int64 // bytes
 	used  atomic.Int64
