quota: Print the units of each holder if TestFaults fails

If the number is out of bounds the test prints, as of the last round of the demand, what each holder believes (keeper, epoch, last Sync, list, units) and the keeper's term with its allocations. The bounds are unchanged.

--- a/quota/faults_test.go
+++ b/quota/faults_test.go
@@ -245,6 +245,9 @@
 		time.Sleep(s.longTimeout)
 		got := s.measureUsable(member)
 		t.Logf("usable %d of %d", got, s.caps[member])
+		if got < least || got > most {
+			t.Log(s.measured)
+		}
 		is.Equal(s.violations, nil) // calls exceeded the cap
 		is.True(got >= least)       // otherwise units are lost
 		is.True(got <= most)        // otherwise more units are used than exist
--- a/quota/load_test.go
+++ b/quota/load_test.go
@@ -53,6 +53,7 @@
 		}
 		time.Sleep(300 * time.Millisecond)
 	}
+	s.measured = s.describe(m)
 	time.Sleep(3 * time.Second)
 	s.runMu.Lock()
 	defer s.runMu.Unlock()
--- a/quota/sim_test.go
+++ b/quota/sim_test.go
@@ -38,6 +38,7 @@
 	peak        map[ident.MemberID]ident.Units
 	runMu       sync.Mutex
 	stopLoad    func()      // ends the load
+	measured    string      // what holders and keeper believed at the end of measureUsable's demand
 	fixedJitter atomic.Bool // all jitter is the same
 	bytes       int64
 	sent        int64
