quota: Let no timer of a holder expire at once

Its stack: StackDepot::Put, ThreadCreate, __tsan_go_start, below synctest.Run, which ran the timers of the bubble. Go 1.26.8 gives all timers of a testing/synctest bubble one race context and runs them without its lock; a goroutine that receives from a timer which expired at once runs that timer itself, so that two threads write one shadow stack.

On Linux a timer of 1 ns expires as soon as one of 0.

--- a/quota/holdersync.go
+++ b/quota/holdersync.go
@@ -27,10 +27,14 @@
 	}
 }
 
+// minWait is the shortest wait between two exchanges. A timer of zero is run by the goroutine that receives from it, and
+// under testing/synctest the race detector of Go 1.26 crashes if two goroutines run timers at the same time.
+const minWait = time.Nanosecond
+
 // Run exchanges messages with the keeper until ctx ends.
 func (h *Holder) Run(ctx context.Context) error {
 	var pace pacer
-	timer := time.NewTimer(0)
+	timer := time.NewTimer(minWait)
 	defer timer.Stop()
 	for {
 		select {
@@ -38,7 +42,7 @@
 			return nil
 		case <-timer.C:
 			if !h.exchangeDue(&pace) {
-				timer.Reset(h.nextWait(&pace))
+				timer.Reset(max(minWait, h.nextWait(&pace)))
 				continue
 			}
 		case <-h.exchangeNow:
@@ -57,7 +61,7 @@
 			h.d.Stats.Inc("Quota.SyncFailed")
 		}
 		pace.slowKeeper = time.Since(begin) > maxQueueWait
-		timer.Reset(h.nextWait(&pace))
+		timer.Reset(max(minWait, h.nextWait(&pace)))
 	}
 }
 
