--- a/mesh/parents.go
+++ b/mesh/parents.go
@@ -17,9 +17,9 @@
 	for c, sub := range n.subs.following {
 		switch {
 		case sub.version >= v || now.Sub(sub.current) <= n.d.Config.inForceShare(lagShare):
-		case sub.told == v && now.Sub(sub.toldAt) < n.d.Config.InForce:
+		case sub.toldVersion == v && now.Sub(sub.toldAt) < n.d.Config.InForce:
 		default:
-			sub.told, sub.toldAt = v, now
+			sub.toldVersion, sub.toldAt = v, now
 			n.d.Stats.Inc("Config.ParentTold")
 			n.notify(c, &notice{Version: v})
 		}
--- a/mesh/subscriptions.go
+++ b/mesh/subscriptions.go
@@ -30,10 +30,10 @@
 	full   bool      // the other daemon has sent its full state
 	notice time.Time // when its last notice arrived
 	// current is when its state was that of the store by its confirmations, at first when it was followed.
-	current time.Time
-	version ident.Version // of the other daemon, by its notices
-	told    ident.Version // last version of which the other daemon was told, at toldAt
-	toldAt  time.Time
+	current     time.Time
+	version     ident.Version // of the other daemon, by its notices
+	toldVersion ident.Version // last version of which the other daemon was told, at toldAt
+	toldAt      time.Time
 	// behindSince is when a confirmation first showed that this daemon's state lacks lacked; zero: it lacks nothing.
 	behindSince time.Time
 	lacked      progress
