poison: Count answers for a request that was in flight at crashes

Cause: the verdict rested on presence alone. Answers counted only before the second crash and only at the daemon that saw them, so the daemon beside a server that was down kept its suspicion while others answered the page.

A request that crashes what runs it is never answered. So an answer at any daemon refutes the crashes that are known then, the other daemons are told, and a daemon that knows more than it is told replies with it. Crashes and refuted crashes are merged as sets, whatever the order. A request that was answered lately needs three crashes, and none counts that another request explains. A verdict ends by a trial, instead of after ten minutes.

Changed expectations: "late completion of a poisoned request" now ends the verdict, as an answer proves that the request does not crash what runs it; "crashes long ago" uses the new expiry. The path with members uses the same code.

--- a/daemon/calls.go
+++ b/daemon/calls.go
@@ -29,13 +29,12 @@
 		Random: rand.Uint64, Stats: d.stats, Log: d.log,
 	})
 	d.budget = retry.NewBudget(retry.DefaultShare, d.stats)
-	d.suspects = poison.New(poison.Deps{Log: d.log, Stats: d.stats})
+	d.suspects = poison.New(poison.Deps{Self: d.controlAddr, Log: d.log, Stats: d.stats})
 	d.holderLists = newHolderLists(d)
 	d.setClaims(nil)
 	d.target = proxy.NewTarget(proxy.TargetDeps{
 		Backend: d.currentBackend, Agreement: d.holder.Agreement, BehindVersion: d.requestVersion,
-		CheckSuspect: func(s proxy.Suspect) error { return d.suspects.Check(fingerprint(s)) },
-		BeginSuspect: d.beginSuspect, ClearSuspect: d.clearSuspect,
+		CheckSuspect: d.admitSuspect, BeginSuspect: d.beginSuspect, ClearSuspect: d.clearSuspect,
 		Acquire: d.acquireUnit, Enter: d.enterGate, Waiting: d.waiting, Stats: d.stats, Log: d.log,
 	})
 	d.entry = proxy.NewEntry(proxy.EntryDeps{
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -74,14 +74,14 @@
 	httpServer      *khttp.Server
 	controlListener *wire.Listener
 
-	activation   activation // of the Version in force
-	service      atomic.Pointer[service]
-	backend      backend
-	stopping     atomic.Bool
-	suspectAdded chan struct{} // signals that a crash has added a suspect
-	ctx          context.Context
-	cancel       context.CancelFunc
-	wg           sync.WaitGroup
+	activation  activation // of the Version in force
+	service     atomic.Pointer[service]
+	backend     backend
+	stopping    atomic.Bool
+	outSuspects *suspectQueue
+	ctx         context.Context
+	cancel      context.CancelFunc
+	wg          sync.WaitGroup
 }
 
 // New opens the listeners and builds a Daemon. It serves nothing until Run is called.
@@ -105,7 +105,7 @@
 		settings: d.Settings, dialContext: d.Dial, stats: d.Stats,
 		httpAddr: ident.Addr(httpListener.Addr().String()), controlAddr: ident.Addr(controlListener.Addr().String()),
 		incarnation:  ident.NewIncarnation(time.Now()),
-		httpListener: httpListener, ctx: ctx, cancel: cancel, suspectAdded: make(chan struct{}, 1),
+		httpListener: httpListener, ctx: ctx, cancel: cancel, outSuspects: newSuspectQueue(),
 	}
 	dm.log = d.Log.With("Daemon", dm.httpAddr)
 	dm.controlListener = wire.NewListener(controlListener, dm.handle)
--- a/daemon/suspects.go
+++ b/daemon/suspects.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"maps"
+	"strconv"
 	"sync"
 	"time"
 
@@ -12,11 +12,64 @@
 	"github.com/marjoramcroft/marjoramcroft/wire"
 )
 
-// typeSuspects is the message that sends suspects to the other daemons of a service.
+// typeSuspects is the message that sends suspects to the other daemons of a service. Its answer has what the receiver
+// knows beyond them.
 const typeSuspects wire.Type = "poison.Exchange"
 
-// suspectsTimeout bounds the sending of suspects to all daemons of the service.
-const suspectsTimeout = time.Second
+const (
+	// suspectsTimeout bounds the sending of suspects to all daemons of the service.
+	suspectsTimeout = time.Second
+	// crashSpan is the time in which the calls of one crash end: those with a broken connection wait up to 3 s for the
+	// announcement of the next process.
+	crashSpan = 3500 * time.Millisecond
+)
+
+// suspectQueue holds suspects to be sent, and names the crashes of the backend server.
+type suspectQueue struct {
+	added chan struct{} // signals that list is not empty
+
+	mu      sync.Mutex
+	list    []poison.Suspect
+	crash   uint64    // number of the last crash
+	crashAt time.Time // when its first call ended
+}
+
+func newSuspectQueue() *suspectQueue { return &suspectQueue{added: make(chan struct{}, 1)} }
+
+func (q *suspectQueue) add(list []poison.Suspect) {
+	if len(list) == 0 {
+		return
+	}
+	q.mu.Lock()
+	q.list = append(q.list, list...)
+	q.mu.Unlock()
+	select {
+	case q.added <- struct{}{}:
+	default:
+	}
+}
+
+func (q *suspectQueue) take() []poison.Suspect {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	list := q.list
+	q.list = nil
+	return list
+}
+
+// crashOf names the crash of the backend server b that ended a call now. Not every backend server tells its processes
+// apart, so the calls that end within crashSpan belong to one crash.
+func (q *suspectQueue) crashOf(b ident.Addr, daemon ident.Incarnation) poison.Crash {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if now := time.Now(); q.crash == 0 || now.Sub(q.crashAt) > crashSpan {
+		q.crash++
+		q.crashAt = now
+	}
+	return poison.Crash{
+		Server: b, Process: strconv.FormatInt(int64(daemon), 10) + "/" + strconv.FormatUint(q.crash, 10), Born: q.crashAt.UnixMilli(),
+	}
+}
 
 // beginSuspect returns the function to call when a request to the backend server has ended. After a
 // crash the suspect is sent to the other daemons at once, because its caller may retry at once.
@@ -26,53 +79,37 @@
 			return
 		}
 		// Compute the fingerprint here, because it is needed only after a crash.
-		d.suspects.Begin(fingerprint(s), b)(true)
-		select {
-		case d.suspectAdded <- struct{}{}:
-		default:
-		}
+		d.outSuspects.add(d.suspects.Crashed(d.outSuspects.crashOf(b, d.incarnation), []poison.Fingerprint{fingerprint(s)}))
 	}
 }
 
-// clearSuspect records that the backend server has completed a request. The fingerprint is computed
-// only if there are suspects.
-func (d *Daemon) clearSuspect(s proxy.Suspect) {
-	if !d.suspects.Empty() {
-		d.suspects.Clear(fingerprint(s))
+// admitSuspect returns a refusal if the request is poisoned and is not tried here.
+func (d *Daemon) admitSuspect(s proxy.Suspect) error {
+	if d.suspects.Empty() {
+		return nil
 	}
+	trial, _, err := d.suspects.Admit(fingerprint(s))
+	d.outSuspects.add(trial)
+	return err
+}
+
+// clearSuspect records that the backend server has completed a request.
+func (d *Daemon) clearSuspect(s proxy.Suspect) {
+	d.outSuspects.add(d.suspects.Answered(fingerprint(s)))
 }
 
-// exchangeSuspects sends new suspects to the other daemons of the service after each crash of the
-// backend server.
+// exchangeSuspects sends new evidence to the other daemons of the service.
 func (d *Daemon) exchangeSuspects() {
-	sent := map[poison.Fingerprint]int{}
 	for {
 		select {
 		case <-d.ctx.Done():
 			return
-		case <-d.suspectAdded:
-		}
-		s := d.service.Load()
-		if list := unsent(d.suspects.List(), sent); len(list) > 0 {
-			d.sendSuspects(s, list)
+		case <-d.outSuspects.added:
 		}
-	}
-}
-
-// unsent returns the suspects of list with more crashes than recorded in sent, and updates sent to
-// match list.
-func unsent(list []poison.Suspect, sent map[poison.Fingerprint]int) []poison.Suspect {
-	var out []poison.Suspect
-	present := map[poison.Fingerprint]bool{}
-	for _, s := range list {
-		present[s.Fingerprint] = true
-		if len(s.Servers) > sent[s.Fingerprint] {
-			sent[s.Fingerprint] = len(s.Servers)
-			out = append(out, s)
+		if list := d.outSuspects.take(); len(list) > 0 {
+			d.wg.Go(func() { d.sendSuspects(d.service.Load(), list) })
 		}
 	}
-	maps.DeleteFunc(sent, func(fp poison.Fingerprint, _ int) bool { return !present[fp] })
-	return out
 }
 
 func (d *Daemon) sendSuspects(s *service, list []poison.Suspect) {
@@ -84,10 +121,13 @@
 			continue
 		}
 		wg.Go(func() {
-			// A daemon that misses a message learns of the suspect at its own next crash.
-			if err := d.conns.call(ctx, srv.Control, typeSuspects, list, nil); err != nil {
+			// A daemon that misses a message is told when it sends its own suspects.
+			var more []poison.Suspect
+			if err := d.conns.call(ctx, srv.Control, typeSuspects, list, &more); err != nil {
 				d.stats.Inc("Poison.ExchangeFailed")
+				return
 			}
+			d.suspects.Merge(more)
 		})
 	}
 	wg.Wait()
@@ -98,6 +138,5 @@
 	if err := wire.Decode(body, &list); err != nil {
 		return nil, err
 	}
-	d.suspects.Merge(list)
-	return nil, nil
+	return wire.Encode(d.suspects.Merge(list))
 }
--- a/mesh/cluster_test.go
+++ b/mesh/cluster_test.go
@@ -48,6 +48,7 @@
 	place    ident.Place
 	service  ident.ServiceID
 	seq      int64
+	born     int64         // start of the backend server's process
 	clockLag time.Duration // how far the daemon's clock is behind
 	// writeDelay is how long each write to a link that another daemon has opened takes, in nanoseconds.
 	writeDelay atomic.Int64
@@ -60,7 +61,7 @@
 // add starts a daemon at place beside a backend server of service.
 func (r *testCluster) add(place ident.Place, service ident.ServiceID) *testNode {
 	r.t.Helper()
-	n := &testNode{backend: newTestBackend(r.t), addr: "127.0.0.1:0", place: place, service: service}
+	n := &testNode{backend: newTestBackend(r.t), addr: "127.0.0.1:0", place: place, service: service, born: 1}
 	r.start(n)
 	r.nodes = append(r.nodes, n)
 	return n
@@ -153,7 +154,7 @@
 func (n *testNode) report(s State) error {
 	n.seq++
 	return n.HandleHeartbeat(Heartbeat{
-		ID: n.backend.id, Service: n.service, Addr: n.backend.addr, Slots: 4, State: s, Seq: n.seq, Started: 1,
+		ID: n.backend.id, Service: n.service, Addr: n.backend.addr, Slots: 4, State: s, Seq: n.seq, Started: n.born,
 	})
 }
 
@@ -197,9 +198,14 @@
 }
 
 func newTestBackend(t *testing.T) *testBackend {
+	t.Helper()
+	return newTestBackendAt(t, "127.0.0.1:0")
+}
+
+func newTestBackendAt(t *testing.T, addr string) *testBackend {
 	t.Helper()
 	is := is.New(t)
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := net.Listen("tcp", addr)
 	is.NoErr(err)
 	b := &testBackend{id: fmt.Sprintf("i-%x", rand.Uint32()), addr: ln.Addr().String()}
 	b.server = &http.Server{Handler: b, ReadHeaderTimeout: time.Second}
--- a/mesh/entry.go
+++ b/mesh/entry.go
@@ -120,6 +120,7 @@
 	triedNoWait    map[ident.Addr]bool // servers already tried without waiting in their queue
 	noWaitAttempts int
 	shortestWait   time.Duration // shortest queue wait reported by a busy server
+	untilTrial     time.Duration // how long a poisoned request is refused
 	busyServers    int           // number of servers that were busy
 	leastBusy      ident.Addr    // busy server that reported shortestWait; empty: none
 	forced         bool          // a server was tried although all are believed to have queues
--- a/mesh/gossip.go
+++ b/mesh/gossip.go
@@ -38,7 +38,9 @@
 		n.updatePeer(*m.Self, true)
 	}
 	n.applyState(c, m)
-	n.suspects.Merge(m.Suspects)
+	if more := n.suspects.Merge(m.Suspects); len(more) > 0 {
+		n.notify(c, &notice{Version: n.Version(), Suspects: more})
+	}
 	switch {
 	case m.Subscribe:
 		n.addFollower(c, m)
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -115,7 +115,7 @@
 	n := &Node{
 		d: d, incarnation: ident.NewIncarnation(d.Now()), started: time.Now(), peers: newPeerList(),
 		board: route.NewLoadTable(d.Place, d.Now, d.Random), slots: admit.NewSlots(d.Now),
-		latencies: newLatencyStats(), suspects: poison.New(poison.Deps{Log: d.Log, Stats: d.Stats}),
+		latencies: newLatencyStats(), suspects: poison.New(poison.Deps{Self: d.Self, Log: d.Log, Stats: d.Stats}),
 		bodies: origin.NewBodyBudget(d.Config.BodyMemory), requests: origin.NewBodyBudget(d.Config.RequestMemory),
 		links: links{open: map[ident.Addr]*pendingLink{}},
 		subs:  newSubscriptions(), stored: newStoredSeq(),
--- a/mesh/settle.go
+++ b/mesh/settle.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/marjoramcroft/marjoramcroft/ident"
-	"github.com/marjoramcroft/marjoramcroft/poison"
 	"github.com/marjoramcroft/marjoramcroft/refuse"
 	"github.com/marjoramcroft/marjoramcroft/retry"
 	"github.com/marjoramcroft/marjoramcroft/route"
@@ -102,7 +101,9 @@
 	switch r.reply.Outcome {
 	case answered:
 		p.sent++
-		p.n.clearSuspect(p.fingerprint, r.reply.Status)
+		if !p.n.suspects.Empty() {
+			p.n.recordAnswer(p.service, p.fingerprint(), r.reply.Status)
+		}
 		a := &Answer{Status: r.reply.Status, Header: r.reply.Header, Body: r.reply.Body}
 		if a.Status < 500 || !p.mayRetry(ctx) {
 			return a, false
@@ -128,7 +129,7 @@
 		p.refusal = refuse.NotRun(r.reply.Reason, r.reply.Detail)
 	}
 	if r.reply.Reason == refuse.Poisoned {
-		p.shortestWait = poison.Expiry
+		p.untilTrial = r.reply.Wait
 		return false
 	}
 	if r.noWait() && r.reply.Wait > 0 {
@@ -161,7 +162,7 @@
 	case p.refusal == nil:
 		p.refusal = refuse.NotRun(refuse.NoServer, "no backend server took the call")
 	}
-	return &Answer{Refusal: p.refusal, RetryAfter: max(minRetryAfter, p.shortestWait)}
+	return &Answer{Refusal: p.refusal, RetryAfter: max(minRetryAfter, p.shortestWait, p.untilTrial)}
 }
 
 // recordAttempt adds the attempt to the trace and updates the latency statistics.
--- a/mesh/suspects.go
+++ b/mesh/suspects.go
@@ -52,23 +52,41 @@
 	return fingerprint(p.n.d.Caller(), p.route.ID, p.c.Method, p.c.URI, p.c.Body)
 }
 
-// checkSuspect returns a refusal if the request was in flight during several crashes. The fingerprint is
-// computed only if there has been a crash.
-func (n *Node) checkSuspect(f func() poison.Fingerprint) error {
+// checkSuspect returns a refusal if the request is poisoned, and how long that holds. The fingerprint is computed only
+// if there has been a crash.
+func (n *Node) checkSuspect(f func() poison.Fingerprint) (time.Duration, error) {
 	if n.suspects.Empty() {
-		return nil
+		return 0, nil
 	}
 	return n.suspects.Check(f())
 }
 
-// poisoned reports whether an equal request was in flight during several crashes. It is checked before each
-// attempt, because the previous attempt may have caused the last of these crashes.
+// admitSuspect is checkSuspect for a request that is about to be sent to the backend server. The other daemons learn of
+// a trial before it begins.
+func (n *Node) admitSuspect(r *request) (time.Duration, error) {
+	if n.suspects.Empty() {
+		return 0, nil
+	}
+	trial, wait, err := n.suspects.Admit(r.fingerprint())
+	n.sendSuspects(r.Service, trial)
+	return wait, err
+}
+
+// poisonedRejection returns the reply for a poisoned request.
+func poisonedRejection(wait time.Duration, err error) *reply {
+	out := rejection(err)
+	out.Wait = wait
+	return out
+}
+
+// poisoned reports whether the request of the call is poisoned. It is checked before each attempt, because the previous
+// attempt may have caused the last crash.
 func (p *pendingCall) poisoned() bool {
-	err := p.n.checkSuspect(p.fingerprint)
+	wait, err := p.n.checkSuspect(p.fingerprint)
 	if err == nil {
 		return false
 	}
-	p.refusal, p.shortestWait = refuse.From(err), poison.Expiry
+	p.refusal, p.untilTrial = refuse.From(err), wait
 	return true
 }
 
@@ -112,22 +130,33 @@
 		return
 	}
 	n.d.Log.Emit(event.BackendCrashed, "Server", s.ID, "Requests", len(lost))
+	var list []poison.Fingerprint
 	for _, l := range lost {
-		n.suspects.Begin(l.fingerprint, n.d.Self)(true)
+		if !slices.Contains(list, l.fingerprint) {
+			list = append(list, l.fingerprint)
+		}
 	}
-	n.sendSuspects(s.Service)
+	n.sendSuspects(s.Service, n.suspects.Crashed(n.crashOf(s), list))
+}
+
+// crashOf names the crash of the process of s.
+func (n *Node) crashOf(s *localServer) poison.Crash {
+	return poison.Crash{Server: n.d.Self, Process: s.ID, Born: s.Born}
 }
 
-// sendSuspects sends the suspects to the daemons beside the backend servers of service, the only ones where
-// such a request can run.
-func (n *Node) sendSuspects(service ident.ServiceID) {
-	m := &notice{Suspects: n.suspects.List()}
+// sendSuspects sends suspects to the daemons beside the backend servers of service, the only ones where such a request
+// can run.
+func (n *Node) sendSuspects(service ident.ServiceID, list []poison.Suspect) {
+	if len(list) == 0 {
+		return
+	}
+	m := &notice{Version: n.Version(), Suspects: list}
 	for _, addr := range n.peers.hosts(service) {
 		if addr == n.d.Self {
 			continue
 		}
 		n.wg.Go(func() {
-			// An unreachable daemon is told at the next crash.
+			// An unreachable daemon is told when it sends its own suspects.
 			if c, err := n.linkTo(n.ctx, addr); err == nil {
 				n.notify(c, m)
 			}
@@ -135,9 +164,10 @@
 	}
 }
 
-// clearSuspect clears a request that a backend server answered from the suspects of a crash.
-func (n *Node) clearSuspect(f func() poison.Fingerprint, status int) {
-	if status < 500 && !n.suspects.Empty() {
-		n.suspects.Clear(f())
+// recordAnswer records that a backend server of service answered a request, and tells the other daemons if that refutes
+// a suspicion.
+func (n *Node) recordAnswer(service ident.ServiceID, fp poison.Fingerprint, status int) {
+	if status < 500 {
+		n.sendSuspects(service, n.suspects.Answered(fp))
 	}
 }
--- /dev/null
+++ b/mesh/suspects_test.go
@@ -0,0 +1,165 @@
+package mesh
+
+import (
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/marjoramcroft/marjoramcroft/ident"
+	"github.com/marjoramcroft/marjoramcroft/refuse"
+)
+
+// crashCluster is a cluster of backend servers of one service. A request whose path ends with /crash ends the process
+// that runs it.
+type crashCluster struct {
+	*testCluster
+	crashes atomic.Int32
+	// run is called with each request before its answer; nil: nothing is.
+	run func(q *http.Request)
+}
+
+func newCrashCluster(t *testing.T, places ...ident.Place) *crashCluster {
+	t.Helper()
+	r := &crashCluster{testCluster: newTestCluster(t)}
+	r.configure(1, "s")
+	for _, place := range places {
+		r.add(place, "s")
+	}
+	r.join(t)
+	return r
+}
+
+// join waits until all daemons know each other's backend servers.
+func (r *crashCluster) join(t *testing.T) {
+	t.Helper()
+	for _, n := range r.nodes {
+		r.prepare(n)
+		eventually(t, "configuration", n.Ready)
+		n.heartbeat(Ready)
+	}
+	for _, n := range r.nodes {
+		n.waitForServers(t, "s", len(r.nodes))
+	}
+}
+
+func (r *crashCluster) prepare(n *testNode) {
+	b := n.backend
+	b.set(func(_ http.ResponseWriter, q *http.Request) {
+		if strings.HasSuffix(q.URL.Path, "/crash") {
+			r.crash(b)
+			panic(http.ErrAbortHandler)
+		}
+		if r.run != nil {
+			r.run(q)
+		}
+	})
+}
+
+// crash ends the process of b: it closes its port and resets all connections.
+func (r *crashCluster) crash(b *testBackend) {
+	r.crashes.Add(1)
+	_ = b.server.Close()
+}
+
+// revive starts a new process of the backend server beside n.
+func (r *crashCluster) revive(t *testing.T, n *testNode) {
+	t.Helper()
+	n.backend = newTestBackendAt(t, n.backend.addr)
+	r.prepare(n)
+	n.born++
+	n.seq = 0
+	n.heartbeat(Ready)
+}
+
+// reviveAll starts a new process of each backend server that has crashed.
+func (r *crashCluster) reviveAll(t *testing.T) {
+	t.Helper()
+	for _, n := range r.nodes {
+		if n.probing.Load() {
+			r.revive(t, n)
+		}
+	}
+}
+
+// TestPopularRequestIsServed guards against an ordinary request that is refused because backend servers crashed while
+// they ran it: equal requests are answered before, between and after the crashes.
+func TestPopularRequestIsServed(t *testing.T) {
+	is := is.New(t)
+	r := newCrashCluster(t, here, here, near, near)
+	r.run = func(*http.Request) { time.Sleep(100 * time.Millisecond) }
+	// The callers are on VMs of another service, whose daemons do not see which requests run.
+	entries := []*testNode{r.add(here, "other"), r.add(near, "other")}
+	for _, n := range entries {
+		n.waitForServers(t, "s", 4)
+		eventually(t, "configuration", n.Ready)
+	}
+	servers := r.nodes[:4]
+	stop := make(chan struct{})
+	var load sync.WaitGroup
+	var refusals atomic.Int32
+	for _, n := range entries {
+		load.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(20 * time.Millisecond):
+				}
+				load.Go(func() {
+					if a := n.call(t.Context(), "/s/get/page"); a.Refusal != nil && a.Refusal.Reason == refuse.Poisoned {
+						refusals.Add(1)
+					}
+				})
+			}
+		})
+	}
+	// Each backend server is back after the next one has crashed, so that its daemon sees no answer between the two.
+	for i, n := range servers {
+		time.Sleep(600 * time.Millisecond)
+		r.crash(n.backend)
+		eventually(t, "crash noticed", n.probing.Load)
+		if i > 0 {
+			r.revive(t, servers[i-1])
+		}
+	}
+	r.revive(t, servers[3])
+	time.Sleep(600 * time.Millisecond)
+	close(stop)
+	load.Wait()
+	is.Equal(r.crashes.Load(), int32(4))
+	is.Equal(refusals.Load(), int32(0))
+}
+
+// TestPopularRequestBesideCrashingOne guards against an ordinary request that is refused with one that crashes the
+// backend servers that run it, and against the latter being sent to servers without end.
+func TestPopularRequestBesideCrashingOne(t *testing.T) {
+	is := is.New(t)
+	r := newCrashCluster(t, here, near)
+	r.run = func(*http.Request) { time.Sleep(30 * time.Millisecond) }
+	for _, n := range r.nodes {
+		is.Equal(n.call(t.Context(), "/s/get/page").Refusal, nil)
+	}
+	for range 6 {
+		var calls sync.WaitGroup
+		for _, n := range r.nodes {
+			for range 3 {
+				calls.Go(func() { n.call(t.Context(), "/s/get/page") })
+			}
+		}
+		time.Sleep(15 * time.Millisecond)
+		r.nodes[0].call(t.Context(), "/s/get/crash")
+		calls.Wait()
+		time.Sleep(100 * time.Millisecond)
+		r.reviveAll(t)
+	}
+	is.True(r.crashes.Load() <= 3)
+	is.Equal(r.nodes[0].call(t.Context(), "/s/get/crash").Refusal.Reason, refuse.Poisoned)
+	for _, n := range r.nodes {
+		is.Equal(n.call(t.Context(), "/s/get/page").Refusal, nil)
+	}
+}
--- a/mesh/target.go
+++ b/mesh/target.go
@@ -85,8 +85,8 @@
 	case s == nil || s.Service != r.Service:
 		return rejection(refuse.NotRun(refuse.NoServer, "no backend server of "+string(r.Service)+" here"))
 	}
-	if err := n.checkSuspect(r.fingerprint); err != nil {
-		return rejection(err)
+	if wait, err := n.checkSuspect(r.fingerprint); err != nil {
+		return poisonedRejection(wait, err)
 	}
 	release, err := n.slots.Enter(ctx, admit.SlotRequest{
 		Route: r.Route, Priority: r.Priority, Goal: began.Add(r.Goal), Deadline: began.Add(r.TimeLeft), MaxWait: r.MaxWait,
@@ -100,6 +100,9 @@
 	if s = n.currentServer(); s == nil || s.State != Ready || s.Service != r.Service {
 		return rejection(refuse.NotRun(refuse.Draining, "the backend server left while the request waited"))
 	}
+	if wait, err := n.admitSuspect(r); err != nil {
+		return poisonedRejection(wait, err)
+	}
 	start := n.d.Now()
 	resp, err := s.client.Do(ctx, &origin.Request{
 		ID: r.ID, Method: r.Method, URI: r.URI, Host: r.Host, Header: r.Header, Body: r.Body,
@@ -127,7 +130,7 @@
 		out.Outcome, out.Reason, out.Detail = shed, refuse.Shedding, "the backend server did not run the request"
 	default:
 		took = d
-		n.clearSuspect(r.fingerprint, resp.Status)
+		n.recordAnswer(r.Service, r.fingerprint(), resp.Status)
 		n.d.Stats.Time("Target.Service", d)
 	}
 	return out
--- a/poison/measure_test.go
+++ b/poison/measure_test.go
@@ -16,7 +16,7 @@
 type scheme struct {
 	name  string
 	check func(Fingerprint) error
-	begin func(Fingerprint, ident.Addr) func(bool)
+	crash func(Crash, []Fingerprint)
 	clear func(Fingerprint) // called when a request completes
 	bytes func() int        // estimate: entries times their size
 }
@@ -61,7 +61,7 @@
 			}
 			sent[c]++
 			server := ident.Addr(fmt.Sprintf("vm-%d:8080", rnd.Intn(32)))
-			ends := []func(bool){s.begin(bad, server)}
+			lost := []Fingerprint{bad}
 			for range 119 {
 				fp := other(rnd)
 				calls++
@@ -69,11 +69,9 @@
 					falseRefusals++
 					continue
 				}
-				ends = append(ends, s.begin(fp, server))
-			}
-			for _, end := range ends {
-				end(true)
+				lost = append(lost, fp)
 			}
+			s.crash(Crash{server, fmt.Sprint(i), int64(i)}, lost)
 			time.Sleep(time.Second)
 		}
 		most, never := 0, 0
@@ -90,7 +88,7 @@
 
 // Measures crashes until a crasher is refused, false refusals and memory on the same traces.
 func TestMeasureSchemes(t *testing.T) {
-	const entryBytes = 16 + 24 + 2*16 + 24 + 16 // key, slice header, two addresses, time, map overhead
+	const entryBytes = 16 + 2*24 + 2*32 + 3*24 + 16 // key, slice headers, two crashes, times and flags, map overhead
 	for _, tr := range []struct {
 		name     string
 		popular  bool
@@ -108,7 +106,10 @@
 		for _, clears := range []bool{false, true} {
 			synctest.Test(t, func(t *testing.T) {
 				s := New(Deps{Log: event.Discard(), Stats: stats.New()})
-				x := scheme{"exact table", s.Check, s.Begin, func(Fingerprint) {}, func() int {
+				x := scheme{"exact table", func(fp Fingerprint) error {
+					_, err := s.Check(fp)
+					return err
+				}, func(c Crash, list []Fingerprint) { s.Crashed(c, list) }, func(Fingerprint) {}, func() int {
 					n := 0
 					for i := range s.shards {
 						n += len(s.shards[i].entries)
@@ -116,7 +117,7 @@
 					return n * entryBytes
 				}}
 				if clears {
-					x.name, x.clear = "cleared", s.Clear
+					x.name, x.clear = "answers count", func(fp Fingerprint) { s.Answered(fp) }
 				}
 				trace(tr.popular, tr.crashers, 300, tr.chance)(t, x)
 			})
--- a/poison/suspects.go
+++ b/poison/suspects.go
@@ -3,10 +3,11 @@
 import (
 	"encoding/binary"
 	"slices"
-	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/marjoramcroft/marjoramcroft/event"
 	"github.com/marjoramcroft/marjoramcroft/ident"
 	"github.com/marjoramcroft/marjoramcroft/refuse"
@@ -14,185 +15,222 @@
 )
 
 const (
-	// Expiry is how long a suspect is kept and a poisoned request is refused.
+	// Expiry is how long a suspect is kept after its last crash if it is not poisoned.
 	Expiry = 10 * time.Minute
-	// poisonedCrashes is the number of crashed backend servers that makes a request poisoned.
-	poisonedCrashes = 2
-	// maxSuspects limits the table. A crash adds at most one suspect per connection of a
-	// backend server (120), so that 136 crashes within Expiry fit. With 4,096 entries, 50
-	// crashing requests that were resent in turn were never refused.
-	maxSuspects = 16384
-	// maxListed limits the suspects that are sent with a heartbeat.
+	// VerdictExpiry is how long a poisoned request is refused after its last crash if no trial is answered.
+	VerdictExpiry = 24 * time.Hour
+	// noticeDelay is how long before a daemon hears of a crash the crash may have been: the detection of it takes
+	// milliseconds, and the notice crosses regions. An answer within it counts as later than the crash.
+	noticeDelay = 300 * time.Millisecond
+	// maxListed limits the suspects in a list.
 	maxListed = 256
 )
 
-// shardCount is the number of shards, each with its own lock, as every call does a lookup.
-const shardCount = 16
-
 // Deps are the dependencies of Suspects.
 type Deps struct {
+	Self  ident.Addr // of the daemon; spreads the trials of several daemons over time
 	Log   *event.Log
 	Stats *stats.Set
 }
 
 // Suspects records requests that were in flight when backend servers crashed, in an exact
-// table with expiry.
+// table with expiry, and refuses those that no answer clears.
 type Suspects struct {
-	d        Deps
-	revision atomic.Uint64 // zero until the first crash
-	shards   [shardCount]suspectShard
-}
-
-// suspectShard holds the suspects whose fingerprints hash to it, under its own lock.
-type suspectShard struct {
-	mu      sync.RWMutex
-	entries map[Fingerprint]*entry
-}
-
-// entry holds the crashed servers and the expiry of a suspect.
-type entry struct {
-	servers []ident.Addr
-	until   time.Time
+	d       Deps
+	crashed atomic.Bool // a crash is known
+	shards  [shardCount]shard
 }
 
 // New returns an empty Suspects.
 func New(d Deps) *Suspects {
 	s := &Suspects{d: d}
 	for i := range s.shards {
-		s.shards[i].entries = map[Fingerprint]*entry{}
+		t := &s.shards[i]
+		t.entries, t.answers = map[Fingerprint]*entry{}, map[Fingerprint]time.Time{}
 	}
 	return s
 }
 
-func (s *Suspects) shard(fp Fingerprint) *suspectShard {
+func (s *Suspects) shard(fp Fingerprint) *shard {
 	return &s.shards[binary.LittleEndian.Uint64(fp[:])%shardCount]
 }
 
-// Check returns a *refuse.Refusal with the reason Poisoned, marked as not run, if the
-// request was in flight when two backend servers crashed in the last 10 min.
-func (s *Suspects) Check(fp Fingerprint) error {
-	t := s.shard(fp)
+// stagger returns the part, from 0 to 1, by which this daemon tries a poisoned request later than others.
+func (s *Suspects) stagger(fp Fingerprint) float64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(string(s.d.Self))
+	_, _ = d.Write(fp[:])
+	return float64(d.Sum64()>>11) / (1 << 53)
+}
+
+// Empty reports whether no crash is known since this daemon started.
+func (s *Suspects) Empty() bool { return !s.crashed.Load() }
+
+// Check returns a *refuse.Refusal with the reason Poisoned, marked as not run, if the request is poisoned and may not be
+// tried here yet, and how long that holds.
+func (s *Suspects) Check(fp Fingerprint) (time.Duration, error) {
+	if s.Empty() {
+		return 0, nil
+	}
+	t, now := s.shard(fp), time.Now()
 	t.mu.RLock()
-	e := t.entries[fp]
-	poisoned := e != nil && len(e.servers) >= poisonedCrashes && time.Now().Before(e.until)
+	wait := time.Duration(0)
+	if e := t.get(fp, now); e != nil && e.poisoned() {
+		wait = e.wait(now, s.stagger(fp))
+	}
 	t.mu.RUnlock()
-	if !poisoned {
-		return nil
+	return s.refusal(wait)
+}
+
+// Admit is Check for a request that is about to be sent to a backend server. If the request is poisoned and admitted,
+// it is a trial, and the returned list is to be sent to the other daemons first.
+func (s *Suspects) Admit(fp Fingerprint) (trial []Suspect, wait time.Duration, err error) {
+	if s.Empty() {
+		return nil, 0, nil
+	}
+	t, now := s.shard(fp), time.Now()
+	t.mu.Lock()
+	if e := t.get(fp, now); e != nil && e.poisoned() {
+		if wait = e.wait(now, s.stagger(fp)); wait <= 0 {
+			e.trial = now.Add(trialTime)
+			x := e.suspect(fp)
+			x.Trial = true
+			trial = []Suspect{x}
+		}
+	}
+	t.mu.Unlock()
+	if trial != nil {
+		s.d.Stats.Inc("Poison.Trial")
+		s.d.Log.Emit(event.RequestTried, "Fingerprint", fp.String())
+		return trial, 0, nil
 	}
-	r := refuse.NotRun(refuse.Poisoned, "request was in flight when two backend servers crashed")
+	wait, err = s.refusal(wait)
+	return nil, wait, err
+}
+
+func (s *Suspects) refusal(wait time.Duration) (time.Duration, error) {
+	if wait <= 0 {
+		return 0, nil
+	}
+	r := refuse.NotRun(refuse.Poisoned, "request was in flight when backend servers crashed, and was not answered since")
 	s.d.Stats.Refused(r)
-	return r
+	return wait, r
 }
 
-// Begin is called when a request is sent to a backend server. The returned function must be
-// called at the end of the request and told whether the server's process crashed.
-func (s *Suspects) Begin(fp Fingerprint, server ident.Addr) (end func(crashed bool)) {
-	return func(crashed bool) {
-		if crashed {
-			s.d.Stats.Inc("Poison.Suspected")
-			s.add(fp, []ident.Addr{server}, time.Now().Add(Expiry))
+// Crashed records that backend servers crashed with these requests in flight, and returns the suspects to send to the
+// other daemons.
+func (s *Suspects) Crashed(c Crash, list []Fingerprint) []Suspect {
+	now := time.Now()
+	explained := slices.ContainsFunc(list, func(fp Fingerprint) bool { return s.explains(fp, c, now) })
+	var out []Suspect
+	for _, fp := range list {
+		answered := s.wasAnswered(fp, now)
+		if answered && explained {
+			continue
 		}
+		out = append(out, s.update(&Suspect{Fingerprint: fp, Crashes: []Crash{c}, Answered: answered}, now))
+		s.d.Stats.Inc("Poison.Suspected")
 	}
+	return out
 }
 
-// Empty reports whether no crash has been recorded since this daemon started.
-func (s *Suspects) Empty() bool { return s.revision.Load() == 0 }
-
-// Clear removes a suspect of a single crash after a backend server has completed the request:
-// it is a frequent request that was in flight by chance. A poisoned request stays refused,
-// since it was in flight at two crashes without completing in between. Each daemon clears the
-// requests that complete at its own backend server.
-func (s *Suspects) Clear(fp Fingerprint) {
+// wasAnswered reports whether an equal request is known to have been answered.
+func (s *Suspects) wasAnswered(fp Fingerprint, now time.Time) bool {
 	t := s.shard(fp)
 	t.mu.RLock()
-	e := t.entries[fp]
-	singleCrash := e != nil && len(e.servers) < poisonedCrashes
-	t.mu.RUnlock()
-	if !singleCrash {
-		return
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if e := t.entries[fp]; e != nil && len(e.servers) < poisonedCrashes {
-		delete(t.entries, fp)
-		s.d.Stats.Inc("Poison.Cleared")
-	}
+	defer t.mu.RUnlock()
+	e := t.get(fp, now)
+	return (e != nil && e.answered) || !t.lastAnswer(fp).IsZero()
 }
 
-// add records crashes of servers. An entry expires at the latest until passed for it.
-func (s *Suspects) add(fp Fingerprint, servers []ident.Addr, until time.Time) {
+// explains reports whether the request was in flight at a crash other than c, and no answer to it is known: it, rather
+// than one that was answered, has caused both.
+func (s *Suspects) explains(fp Fingerprint, c Crash, now time.Time) bool {
+	if s.wasAnswered(fp, now) {
+		return false
+	}
 	t := s.shard(fp)
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	e := t.get(fp, now)
+	return e != nil && slices.ContainsFunc(e.crashes, func(x Crash) bool { return x != c })
+}
+
+// Answered records that a backend server answered the request. That refutes all its crashes; the returned list, if not
+// empty, is to be sent to the other daemons.
+func (s *Suspects) Answered(fp Fingerprint) []Suspect {
+	t, now := s.shard(fp), time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := time.Now()
-	e := t.entries[fp]
-	if e == nil || !now.Before(e.until) {
-		if e == nil && len(t.entries) >= maxSuspects/shardCount {
-			t.evict(now)
-			s.d.Stats.Inc("Poison.Evicted")
-		}
-		e = &entry{}
-		t.entries[fp] = e
+	t.recordAnswer(fp, now)
+	e := t.get(fp, now)
+	if e == nil || len(e.crashes) == 0 {
+		return nil
 	}
-	if until.After(e.until) {
-		e.until = until
+	s.refuteAll(fp, e)
+	return []Suspect{e.suspect(fp)}
+}
+
+// refuteAll refutes all crashes of e. The caller holds the lock of its shard.
+func (s *Suspects) refuteAll(fp Fingerprint, e *entry) {
+	poisoned := e.poisoned()
+	e.answered = true
+	e.refute(e.crashes)
+	s.d.Stats.Inc("Poison.Cleared")
+	if poisoned {
+		s.d.Log.Emit(event.RequestCleared, "Fingerprint", fp.String())
 	}
-	before := len(e.servers)
-	for _, a := range servers {
-		if len(e.servers) < poisonedCrashes && !slices.Contains(e.servers, a) {
-			e.servers = append(e.servers, a)
+}
+
+// Merge adds the suspects that another daemon sent, and returns those of which more is known here than the other daemon
+// stated.
+func (s *Suspects) Merge(list []Suspect) []Suspect {
+	now := time.Now()
+	var out []Suspect
+	for i := range list {
+		if x := s.update(&list[i], now); x.adds(&list[i]) {
+			out = append(out, x)
 		}
 	}
-	if len(e.servers) > before {
-		s.revision.Add(1)
-	}
-	if before < poisonedCrashes && len(e.servers) >= poisonedCrashes {
-		s.d.Log.Emit(event.RequestPoisoned, "Fingerprint", fp.String(), "Servers", e.servers)
-		s.d.Stats.Inc("Poison.Poisoned")
-	}
+	return out
 }
 
-// evict removes all expired entries. If there are none, it removes the entry that expires
-// first among those with one crash, or among all if every entry is poisoned.
-func (t *suspectShard) evict(now time.Time) {
-	var victim Fingerprint
-	var found *entry
-	expired := false
-	for fp, e := range t.entries {
-		if !now.Before(e.until) {
-			delete(t.entries, fp)
-			expired = true
-			continue
-		}
-		if found == nil || len(e.servers) < len(found.servers) ||
-			len(e.servers) == len(found.servers) && e.until.Before(found.until) {
-			victim, found = fp, e
+// update adds the evidence of x, and returns what is known then.
+func (s *Suspects) update(x *Suspect, now time.Time) Suspect {
+	t := s.shard(x.Fingerprint)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, evicted := t.add(x.Fingerprint, now)
+	if evicted {
+		s.d.Stats.Inc("Poison.Evicted")
+	}
+	before := e.poisoned()
+	added := e.merge(x, now)
+	if added {
+		s.crashed.Store(true)
+		last := t.lastAnswer(x.Fingerprint)
+		e.answered = e.answered || !last.IsZero()
+		if !last.IsZero() && now.Sub(last) < noticeDelay {
+			s.refuteAll(x.Fingerprint, e)
 		}
 	}
-	if !expired {
-		delete(t.entries, victim)
+	if poisoned := e.poisoned(); poisoned != before {
+		s.reportVerdict(x.Fingerprint, e, poisoned)
 	}
+	return e.suspect(x.Fingerprint)
 }
 
-// Merge adds the suspects of another daemon.
-func (s *Suspects) Merge(list []Suspect) {
-	now := time.Now()
-	for _, x := range list {
-		until := time.UnixMilli(x.Until)
-		if latest := now.Add(Expiry); until.After(latest) {
-			until = latest // the sender's clock is ahead
-		}
-		if now.Before(until) {
-			s.add(x.Fingerprint, x.Servers, until)
-		}
+// reportVerdict logs that a verdict on e begins or ends. The caller holds the lock of its shard.
+func (s *Suspects) reportVerdict(fp Fingerprint, e *entry, poisoned bool) {
+	if !poisoned {
+		s.d.Log.Emit(event.RequestCleared, "Fingerprint", fp.String())
+		return
 	}
+	s.d.Log.Emit(event.RequestPoisoned, "Fingerprint", fp.String(), "Crashes", e.crashes)
+	s.d.Stats.Inc("Poison.Poisoned")
 }
 
-// Revision increases with each new suspect or crash. The list is sent when it has changed.
-func (s *Suspects) Revision() uint64 { return s.revision.Load() }
-
-// List returns at most maxListed suspects to send to other daemons: poisoned ones first, then
-// those that expire last.
+// List returns at most maxListed suspects to send to a daemon that may know none: those with most crashes first.
 func (s *Suspects) List() []Suspect {
 	now := time.Now()
 	var out []Suspect
@@ -200,11 +238,11 @@
 		t := &s.shards[i]
 		t.mu.Lock()
 		for fp, e := range t.entries {
-			if !now.Before(e.until) {
+			if !now.Before(e.until()) {
 				delete(t.entries, fp)
 				continue
 			}
-			out = append(out, Suspect{Fingerprint: fp, Servers: slices.Clone(e.servers), Until: e.until.UnixMilli()})
+			out = append(out, e.suspect(fp))
 		}
 		t.mu.Unlock()
 	}
