poison: Count each crash of a backend server

The other requests at that server broke each time.

Cause: crashes were counted by the address of the daemon, so that those of successive processes were one.

--- a/poison/entry.go
+++ b/poison/entry.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"github.com/marjoramcroft/marjoramcroft/ident"
 )
 
 const (
@@ -41,21 +39,7 @@
 	return poisonedCrashes
 }
 
-// servers returns the number of different backend servers that crashed.
-func (e *entry) servers() int {
-	if len(e.crashes) < 2 {
-		return len(e.crashes)
-	}
-	var list []ident.Addr
-	for _, c := range e.crashes {
-		if !slices.Contains(list, c.Server) {
-			list = append(list, c.Server)
-		}
-	}
-	return len(list)
-}
-
-func (e *entry) poisoned() bool { return e.servers() >= e.threshold() }
+func (e *entry) poisoned() bool { return len(e.crashes) >= e.threshold() }
 
 // until returns when the entry expires.
 func (e *entry) until() time.Time {
