mesh: Bound what a heartbeat can say, and restore a displaced server

One heartbeat of another writer for the VM's address, with a service that no configuration names and a later start, put the backend server out of use for good: its own heartbeats counted as late. So did a start or slots of 2^63-1, and a leave with such a start.

Cause: the start orders processes, nothing bounded it, and one message was final.

Evidence: all 13 cases of TestForeignHeartbeat and both of TestForeignLeave fail before.

Reports that cannot be the server's are refused with 400; the VM's own service may be named by a later configuration. What is valid cannot be told apart, so the process that goes on being heard for 5 s beside a silent later one is in use again, unless the later one has left. Late heartbeats of a former process beside the present one change nothing, as before (TestLateHeartbeatsOfFormerProcess).

--- a/event/mesh.go
+++ b/event/mesh.go
@@ -19,6 +19,7 @@
 	PeerChanged          ID = 814
 	NoticeUnreadable     ID = 815
 	LinkNotAccepted      ID = 816
+	BackendRestored      ID = 817
 	ConfigInForce        ID = 820
 	ConfigInvalid        ID = 821
 	StoreLost            ID = 822
@@ -54,6 +55,7 @@
 	PeerChanged:          {log.InfoLevel, "another daemon changed its state"},
 	NoticeUnreadable:     {log.WarnLevel, "notice of another daemon cannot be read"},
 	LinkNotAccepted:      {log.WarnLevel, "link cannot be accepted"},
+	BackendRestored:      {log.WarnLevel, "backend server goes on reporting, the later one is dropped"},
 	ConfigInForce:        {log.InfoLevel, "configuration in force"},
 	ConfigInvalid:        {log.ErrorLevel, "configuration refused, the present one stays in force"},
 	StoreLost:            {log.WarnLevel, "store lost, the present state stays in use"},
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -93,7 +93,8 @@
 
 	mu           sync.Mutex
 	server       *localServer // beside the daemon; nil: none is known. Replaced, never modified.
-	departures   departures   // of processes other than that of server
+	displaced    displacedServer
+	departures   departures // of processes other than that of server
 	seq          int64
 	doc          *document                 // the configuration in force; nil: none
 	conns        map[*link.Conn]ident.Addr // the daemon at the other end; empty until it has sent its state
--- a/mesh/server.go
+++ b/mesh/server.go
@@ -2,56 +2,47 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
 	"github.com/marjoramcroft/marjoramcroft/event"
-	"github.com/marjoramcroft/marjoramcroft/ident"
 	"github.com/marjoramcroft/marjoramcroft/origin"
 	"github.com/marjoramcroft/marjoramcroft/refuse"
 )
 
-// Heartbeat is the state that a backend server reports.
-type Heartbeat struct {
-	ID      string
-	Service ident.ServiceID
-	Addr    string // address for requests
-	Slots   int
-	State   State
-	Seq     int64 // increases during the lifetime of its process
-	Started int64 // process start, Unix milliseconds on the server's clock; zero: not stated
-	WarmUp  time.Duration
-}
-
 // localServer is the backend server beside this daemon. It is guarded by Node.mu.
 type localServer struct {
 	Server
 	addr    string
 	seq     int64
-	leaving bool // reported that it is draining or gone; final for this process
+	leaving bool      // reported that it is draining or gone; final for this process
+	heard   time.Time // when its last heartbeat came, on the steady clock
 	client  *origin.Client
 }
 
 // HandleHeartbeat applies a heartbeat of the backend server beside the daemon. The reported state is in force when
 // HandleHeartbeat returns. An invalid heartbeat returns an error.
 func (n *Node) HandleHeartbeat(h Heartbeat) error {
-	if h.ID == "" || h.Service == "" || h.Addr == "" || h.Slots <= 0 {
-		return fmt.Errorf("heartbeat of %q lacks id, service, address or slots", h.ID)
+	if err := n.checkHeartbeat(&h); err != nil {
+		return err
 	}
+	now := time.Now()
 	n.mu.Lock()
 	cur := n.server
-	switch {
-	case cur != nil && cur.ID != h.ID && h.Started < cur.Born,
-		cur != nil && cur.ID == h.ID && h.Started < cur.Born,
-		cur != nil && cur.ID == h.ID && h.Started == cur.Born && h.Seq <= cur.seq:
+	late := cur != nil && (h.Started < cur.Born || (cur.ID == h.ID && h.Started == cur.Born && h.Seq <= cur.seq))
+	if late && !n.displaced.heard(&h, cur, now) {
 		n.mu.Unlock()
 		n.d.Stats.Inc("Server.HeartbeatLate")
 		return nil // from an earlier process, or out of order
 	}
+	if late {
+		n.d.Stats.Inc("Server.Restored")
+		n.d.Log.Emit(event.BackendRestored, "Server", h.ID, "Born", h.Started, "Displaced", cur.ID, "DisplacedBorn", cur.Born)
+	}
+	n.displaced = displacedServer{}
 	fresh := cur == nil || cur.ID != h.ID || cur.Born != h.Started
 	next := &localServer{
 		Server: Server{ID: h.ID, Service: h.Service, Slots: h.Slots, State: h.State, Born: h.Started, WarmAt: n.d.Now().Add(h.WarmUp)},
-		addr:   h.Addr, seq: h.Seq,
+		addr:   h.Addr, seq: h.Seq, heard: now,
 	}
 	if fresh {
 		next.client = n.newClient(h.Addr)
@@ -81,6 +72,9 @@
 // stated, and that each process of id that has started so far is gone. The report is in force when ServerLeft returns;
 // one that cannot be kept returns an error.
 func (n *Node) ServerLeft(id string, born int64) error {
+	if err := n.checkStart(born); err != nil {
+		return err
+	}
 	n.mu.Lock()
 	cur := n.server
 	if born != 0 && cur != nil && born < cur.Born {
--- a/table/table.go
+++ b/table/table.go
@@ -90,6 +90,15 @@
 // Limits returns the limits for callers.
 func (t *Table) Limits() Limits { return t.spec.Limits }
 
+// Serves reports whether the configuration names the service; false for a nil Table.
+func (t *Table) Serves(id ident.ServiceID) bool {
+	if t == nil {
+		return false
+	}
+	_, ok := t.services[id]
+	return ok
+}
+
 // Find returns the route of host with the longest prefix that matches path.
 func (t *Table) Find(host, path string) (*WeightedRoute, bool) {
 	for _, c := range t.hosts[canonicalHost(host)] {
