mesh: Write the own entry again above that of another writer

If another writer replaces a daemon's entry in the store by one with a later incarnation or sequence number and no backend server, daemons without a link to it stop using its server for good.

Cause: a daemon that follows others learned only the position of its entry and wrote it again with its own lower incarnation, which the others ignored. A sequence number ahead was never exceeded, an incarnation of 2^63-1 overflowed.

A daemon raises its incarnation or sequence number above those of its entry in each role. What no daemon can have written counts as absent, like what cannot be decoded, so that it is written again.

--- a/mesh/gossip.go
+++ b/mesh/gossip.go
@@ -80,8 +80,7 @@
 	for _, p := range m.Peers {
 		present[p.Peer.Addr] = p.Revision > 0
 		if p.Peer.Addr == n.d.Self {
-			n.rememberDeparture(p.Peer)
-			n.observeOwnPosition(p.position())
+			n.applyOwnEntry(p.Peer, p.position())
 			continue
 		}
 		if n.applyEntry(p.Peer, p.position()) {
--- a/mesh/peer.go
+++ b/mesh/peer.go
@@ -51,6 +51,15 @@
 	Era store.Era
 }
 
+// maxPeerSeq bounds Seq, which grows by one with each change of state.
+const maxPeerSeq = 1 << 53
+
+// plausible reports whether a daemon can have written p. Its clock may be wrong, but a larger Life could not be exceeded
+// by its next one.
+func (p *Peer) plausible(now time.Time) bool {
+	return p.Life <= ident.NewIncarnation(now.Add(maxClockLead)) && p.Seq <= maxPeerSeq
+}
+
 // newer reports whether p is a later state than q of the daemon at the same address.
 func (p *Peer) newer(q *Peer) bool {
 	if p.Life != q.Life {
--- a/mesh/register.go
+++ b/mesh/register.go
@@ -17,6 +17,20 @@
 	writtenSeq int64          // Seq of the stored entry; -1: absent or from another incarnation
 }
 
+// applyOwnEntry handles what another daemon states of this one: departures that it returns, or the entry that the store
+// holds at a position.
+func (n *Node) applyOwnEntry(p Peer, at store.Position) {
+	n.rememberDeparture(p)
+	n.mu.Lock()
+	ahead := p.Life > n.incarnation || (p.Life == n.incarnation && p.Seq > n.seq)
+	superseded := ahead && !n.stopping.Load() && at.After(n.entry.stored) && n.supersede(p)
+	n.mu.Unlock()
+	n.observeOwnPosition(at)
+	if superseded {
+		n.publish()
+	}
+}
+
 // updateOwnEntry records the position at which the store holds the daemon's own entry. A write whose answer was lost may
 // run late and replace a newer entry, which is then written again.
 func (n *Node) updateOwnEntry(p Peer, at store.Position) {
@@ -60,15 +74,21 @@
 	n.peers.setOwnStored(n.d.Self, at)
 }
 
-// supersede reports whether p, the stored own entry, is from an earlier incarnation. If so, it raises the
-// daemon's incarnation above that of p, so that the entry is replaced even if the clock was set back. The
-// caller holds n.mu.
+// supersede reports whether p, the stored own entry, is not one that this process wrote: it is from an earlier
+// incarnation, or from another writer. If so, it raises the daemon's incarnation or sequence number above that of p, so
+// that the entry is replaced even if the clock was set back. The caller holds n.mu.
 func (n *Node) supersede(p Peer) bool {
-	if p.Life == n.incarnation {
+	switch {
+	case p.Life == 0 || !p.plausible(n.d.Now()):
+		return false
+	case p.Life != n.incarnation:
+		n.incarnation = max(n.incarnation, p.Life+1)
+	case p.Seq > n.seq:
+		n.seq = p.Seq
+	default:
 		return false
 	}
 	n.entry.writtenSeq = -1
-	n.incarnation = max(n.incarnation, p.Life+1)
 	return true
 }
 
--- a/mesh/storeloop.go
+++ b/mesh/storeloop.go
@@ -276,10 +276,15 @@
 			config = &changes[i].Value
 			continue
 		}
-		if a, ok := n.applyValue(c.Value); ok {
-			if p, ok := n.peers.get(a); ok {
-				m.Peers = append(m.Peers, newStoredPeer(p, c.Position()))
+		a, ok := n.applyValue(c.Value)
+		if !ok {
+			if a != "" { // counts as absent, and its daemon writes it again
+				m.Gone = append(m.Gone, newRemovedPeer(a, c.Position()))
 			}
+			continue
+		}
+		if p, ok := n.peers.get(a); ok {
+			m.Peers = append(m.Peers, newStoredPeer(p, c.Position()))
 		}
 	}
 	if config != nil {
@@ -313,7 +318,8 @@
 	return ident.Addr(a), ok && a != ""
 }
 
-// applyValue applies a value from the store. It returns the daemon's address if it is a peer entry.
+// applyValue applies a value from the store. It returns the daemon's address if the key is that of a peer entry, and
+// whether it holds one. Another one, which another writer left there, counts as absent.
 func (n *Node) applyValue(v store.Value) (ident.Addr, bool) {
 	if v.Key == n.d.Keys.Config {
 		n.adopt(v.Data, delta{}, "Store", v.Key)
@@ -324,9 +330,10 @@
 		return "", false
 	}
 	var p Peer
-	if err := wire.Decode(v.Data, &p); err != nil || p.Addr != addr {
+	if err := wire.Decode(v.Data, &p); err != nil || p.Addr != addr || !p.plausible(n.d.Now()) {
 		n.d.Log.Emit(event.EntryUnreadable, "Key", v.Key, "Revision", v.Revision, "Error", err)
-		return "", false
+		n.handleRemoval(addr, v.Position())
+		return addr, false
 	}
 	if addr == n.d.Self {
 		n.updateOwnEntry(p, v.Position())
