retry: Count the calls of repeated runs

Cause: calls of a repeated run count as repeats at the service that is called, but no daemon counted them; a repeat after a rejection cost one unit though it runs and calls as well.

A request between daemons says whether another attempt has reached a server before. The daemon beside the server so knows the share of repeats among its runs, and counts requests from its VM with that share as repeats at the service called; with them its own repeats take at most 0.9 of the ratio.

--- a/mesh/message.go
+++ b/mesh/message.go
@@ -31,6 +31,7 @@
 	TimeLeft   time.Duration // until the caller's deadline or the route's timeout
 	MaxWait    time.Duration
 	Version    ident.Version
+	Repeat     bool // another attempt of the call has reached a backend server, or may have
 }
 
 // outcome is the result of a request at the daemon beside the backend server.
--- a/mesh/target.go
+++ b/mesh/target.go
@@ -103,6 +103,7 @@
 	if wait, err := n.admitSuspect(r); err != nil {
 		return poisonedRejection(wait, err)
 	}
+	n.retries.Run(r.Repeat)
 	start := n.d.Now()
 	resp, err := s.client.Do(ctx, &origin.Request{
 		ID: r.ID, Method: r.Method, URI: r.URI, Host: r.Host, Header: r.Header, Body: r.Body,
--- a/mesh/visit.go
+++ b/mesh/visit.go
@@ -167,6 +167,7 @@
 		ID: p.c.ID, Service: p.service, Route: p.route.ID, Caller: p.n.d.Caller(), Method: p.c.Method, URI: p.c.URI,
 		Host: p.c.Host, Header: p.c.Header, Body: p.c.Body, Idempotent: p.route.Idempotent, Priority: p.route.Priority,
 		Goal: p.goal.Sub(now), TimeLeft: p.deadline.Sub(now) - answerMargin, MaxWait: maxWait, Version: p.version,
+		Repeat: p.sent > 0 || len(p.running) > 0,
 	}
 	p.started++
 	number := p.started
--- a/retry/shared.go
+++ b/retry/shared.go
@@ -21,6 +21,9 @@
 	// retries at other services count too.
 	ratioShare = 0.6
 	slackShare = 0.4
+	// knownShare is the part of the ratio that a daemon's own repeats and the calls of repeated runs
+	// that it knows may take together. The rest is for the uneven spread.
+	knownShare = 0.9
 	// mayHaveRunCost is the cost of an attempt after one that may have run. A run makes calls
 	// of its own; those of a repeated run count as repeats at the called services, which
 	// cannot see why.
@@ -28,23 +31,41 @@
 )
 
 // SharedBudget is a daemon's part of a retry budget that all daemons share without communication:
-// the ratio of the requests that this daemon has seen, and an equal part of the slack. Its
-// methods are safe for concurrent use.
+// the ratio of the requests that this daemon has seen, less the calls of repeated runs that it knows,
+// and an equal part of the slack. Its methods are safe for concurrent use.
 type SharedBudget struct {
 	limits  SharedBudgetLimits
 	daemons func() int // number of daemons that share the slack
 	now     func() time.Time
 
 	mu       sync.Mutex
+	runs     []time.Time // of the backend server beside the daemon
+	repeated []time.Time // those of runs that were repeats
 	services map[ident.ServiceID]*sharedService
 }
 
 type sharedService struct {
 	requests []time.Time
-	attempts []time.Time // one entry for each whole unit of cost
-	fraction float64     // fraction of a unit that is not in attempts yet
+	attempts units // repeats by this daemon, by their cost
+	// calls are those that repeated runs of the backend server beside the daemon have made, as far as
+	// known: each call from the VM counts with the share of its runs that were repeats.
+	calls units
 }
 
+// units is a sum of amounts within a window.
+type units struct {
+	whole    []time.Time // one entry for each whole unit
+	fraction float64     // that is not in whole yet
+}
+
+func (u *units) add(amount float64, now time.Time) {
+	for u.fraction += amount; u.fraction >= 1; u.fraction-- {
+		u.whole = append(u.whole, now)
+	}
+}
+
+func (u *units) sum() float64 { return float64(len(u.whole)) + u.fraction }
+
 // NewSharedBudget returns a SharedBudget without attempts. A nil now means time.Now.
 func NewSharedBudget(l SharedBudgetLimits, daemons func() int, now func() time.Time) *SharedBudget {
 	if now == nil {
@@ -53,13 +74,39 @@
 	return &SharedBudget{limits: l, daemons: daemons, now: now, services: map[ident.ServiceID]*sharedService{}}
 }
 
-// Request counts a request for service.
+// Request counts a request for service from the daemon's VM. The backend server on the VM may have made it in a repeated
+// run, which makes it a repeat itself.
 func (s *SharedBudget) Request(service ident.ServiceID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
 	v := s.serviceAt(service, now)
 	v.requests = append(v.requests, now)
+	if share := s.repeatedShare(now); share > 0 {
+		v.calls.add(share, now)
+	}
+}
+
+// Run counts a run of the backend server beside the daemon. repeat means that the request had reached a backend server
+// before.
+func (s *SharedBudget) Run(repeat bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	s.runs = append(dropBefore(s.runs, now.Add(-s.limits.Window)), now)
+	if repeat {
+		s.repeated = append(s.repeated, now)
+	}
+}
+
+// repeatedShare returns the share of repeats among the runs in the window that ends now. The caller holds s.mu.
+func (s *SharedBudget) repeatedShare(now time.Time) float64 {
+	if len(s.repeated) == 0 {
+		return 0
+	}
+	from := now.Add(-s.limits.Window)
+	s.runs, s.repeated = dropBefore(s.runs, from), dropBefore(s.repeated, from)
+	return float64(len(s.repeated)) / float64(max(1, len(s.runs)))
 }
 
 // Take reports whether one more attempt of kind k may be made at service, and counts it.
@@ -72,13 +119,12 @@
 	defer s.mu.Unlock()
 	now := s.now()
 	v := s.serviceAt(service, now)
-	allowed := ratioShare*s.limits.Ratio*float64(len(v.requests)) + slackShare*s.limits.Slack/float64(max(1, s.daemons()))
-	if float64(len(v.attempts))+v.fraction+cost > allowed {
+	ratio := s.limits.Ratio * float64(len(v.requests))
+	allowed := max(0, min(ratioShare*ratio, knownShare*ratio-v.calls.sum())) + slackShare*s.limits.Slack/float64(max(1, s.daemons()))
+	if v.attempts.sum()+cost > allowed {
 		return false
 	}
-	for v.fraction += cost; v.fraction >= 1; v.fraction-- {
-		v.attempts = append(v.attempts, now)
-	}
+	v.attempts.add(cost, now)
 	return true
 }
 
@@ -91,7 +137,8 @@
 	}
 	from := now.Add(-s.limits.Window)
 	v.requests = dropBefore(v.requests, from)
-	v.attempts = dropBefore(v.attempts, from)
+	v.attempts.whole = dropBefore(v.attempts.whole, from)
+	v.calls.whole = dropBefore(v.calls.whole, from)
 	return v
 }
 
--- a/retry/shared_test.go
+++ b/retry/shared_test.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -90,3 +91,63 @@
 	}
 	is.True(float64(repeats) <= limits.Ratio*float64(calls)+limits.Slack)
 }
+
+// TestSharedCountsCallsOfRepeatedRuns guards against two services that reject requests at the same time: the calls of
+// repeated runs of the one count at the other as repeats, beside its own. Here each run of the front service calls the other
+// 1.4 times on average, and a tenth of the daemons' callers ask for the other service directly.
+func TestSharedCountsCallsOfRepeatedRuns(t *testing.T) {
+	for name, shed := range map[string][2]float64{
+		"a quarter and a third": {0.25, 0.35},
+		"most":                  {0.6, 0.6},
+		"front only":            {0.4, 0},
+		"other only":            {0, 0.4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			rnd := rand.New(rand.NewPCG(1, 2))
+			limits := SharedBudgetLimits{Ratio: 0.2, Slack: 60, Window: 10 * time.Second}
+			now := time.Unix(1000, 0)
+			var daemons []*SharedBudget
+			for range 12 {
+				daemons = append(daemons, NewSharedBudget(limits, func() int { return 12 }, func() time.Time { return now }))
+			}
+			requests, repeats := 0, 0
+			// call plays a request for the other service through d.
+			call := func(d *SharedBudget) {
+				requests++
+				d.Request("other")
+				for try := 0; try < 2 && rnd.Float64() < shed[1] && d.Take("other", NotRun); try++ {
+					repeats++
+				}
+			}
+			for range 100 { // the length of a window
+				for i, d := range daemons {
+					if rnd.IntN(10) < 9 {
+						call(d)
+					}
+					for range 2 { // requests for the front service, which run beside the first four daemons
+						d.Request("front")
+						repeat := false
+						if rnd.Float64() < shed[0] {
+							if !d.Take("front", NotRun) {
+								continue
+							}
+							repeat = true
+						}
+						server := daemons[(i+rnd.IntN(4))%4]
+						server.Run(repeat)
+						for calls := 0; calls < 2 && rnd.Float64() < 0.7; calls++ {
+							call(server)
+							if repeat {
+								repeats++
+							}
+						}
+					}
+				}
+				now = now.Add(99 * time.Millisecond)
+			}
+			t.Logf("%d repeats of %d requests, %.0f allowed", repeats, requests, limits.Ratio*float64(requests)+limits.Slack)
+			is.True(float64(repeats) <= limits.Ratio*float64(requests)+limits.Slack)
+		})
+	}
+}
