poison: End trials after the fifth crash in each case

A request that was answered before its first crash is refused after three crashes, and had three trials as well, so that six crashes were possible: the last is as many late retries as the users allow, with no margin for two daemons that try at once.

--- a/poison/entry.go
+++ b/poison/entry.go
@@ -18,8 +18,8 @@
 )
 
 // trialDelays are the times from the last crash until a poisoned request is tried, by the crashes since it is
-// poisoned. After the last trial there is none until the verdict expires: no request is to crash more than a few
-// backend servers in a day.
+// poisoned. After poisonedCrashes and one for each there is no trial until the verdict expires: no request is to crash
+// more than a few backend servers in a day.
 var trialDelays = []time.Duration{20 * time.Second, 2 * time.Minute, 20 * time.Minute}
 
 // entry is what a daemon knows of a suspect. Times are on the steady clock.
@@ -54,11 +54,10 @@
 // wait returns how long the request is refused from now on. stagger, from 0 to 1, is the part of the delay that is
 // added to it.
 func (e *entry) wait(now time.Time, stagger float64) time.Duration {
-	n := len(e.crashes) - e.threshold()
-	if n >= len(trialDelays) {
+	if len(e.crashes) >= poisonedCrashes+len(trialDelays) {
 		return e.until().Sub(now)
 	}
-	d := trialDelays[n]
+	d := trialDelays[len(e.crashes)-e.threshold()]
 	return max(e.last.Add(d+time.Duration(stagger*float64(d))).Sub(now), e.trial.Sub(now))
 }
 
--- a/poison/suspects_test.go
+++ b/poison/suspects_test.go
@@ -181,30 +181,55 @@
 // Guards against a request that is refused for long though it does no harm, and against one that crashes backend servers
 // without end.
 func TestTrials(t *testing.T) {
+	tests := map[string]struct {
+		answered bool // before the first crash
+		first    int  // crashes until it is refused
+	}{
+		"never answered":  {false, 2},
+		"answered before": {true, 3},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := newSuspects()
+				if tt.answered {
+					s.Answered(fingerprint(1))
+					time.Sleep(time.Second)
+				}
+				crashes := 0
+				for ; crashes < tt.first; crashes++ {
+					_, _, err := s.Admit(fingerprint(1))
+					is.NoErr(err)
+					crash(s, "a", crashes, 1)
+				}
+				var trials []time.Duration
+				for began := time.Now(); time.Since(began) < VerdictExpiry; time.Sleep(time.Second) {
+					trial, wait, err := s.Admit(fingerprint(1))
+					is.Equal(err != nil, wait > 0)
+					if err != nil {
+						continue
+					}
+					is.Equal(len(trial), 1)
+					is.True(trial[0].Trial)
+					_, _, err = s.Admit(fingerprint(1))
+					is.True(err != nil) // one at a time
+					trials = append(trials, time.Since(began))
+					crash(s, "a", crashes, 1)
+					crashes++
+				}
+				is.Equal(crashes, 5) // the fourth and the fifth may be late, one less than is allowed
+				is.True(trials[0] >= 20*time.Second && trials[0] <= 41*time.Second)
+			})
+		})
+	}
+}
+
+// Guards against a request that is refused after it was answered in a trial.
+func TestTrialThatIsAnswered(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		s := newSuspects()
-		crash(s, "s1", 1, 1)
-		crash(s, "s2", 1, 1)
-		crashes := 2
-		var trials []time.Duration
-		for began := time.Now(); time.Since(began) < VerdictExpiry; time.Sleep(time.Second) {
-			trial, wait, err := s.Admit(fingerprint(1))
-			is.Equal(err != nil, wait > 0)
-			if err != nil {
-				continue
-			}
-			is.Equal(len(trial), 1)
-			is.True(trial[0].Trial)
-			_, _, err = s.Admit(fingerprint(1))
-			is.True(err != nil) // one at a time
-			trials = append(trials, time.Since(began))
-			crashes++
-			crash(s, ident.Addr(fmt.Sprintf("s%d", crashes)), 1, 1)
-		}
-		is.Equal(crashes, 5) // 3 and one for each late retry that is allowed, less one
-		is.True(trials[0] >= 20*time.Second && trials[0] <= 41*time.Second)
-
 		crash(s, "x", 1, 2)
 		crash(s, "y", 1, 2)
 		time.Sleep(41 * time.Second)
