--- a/poison/suspects.go
+++ b/poison/suspects.go
@@ -170,19 +170,19 @@
 	if e == nil || len(e.crashes) == 0 {
 		return nil
 	}
-	s.refuteAll(fp, e, now)
+	poisoned := e.poisoned()
+	s.refuteAll(e, now)
+	if poisoned {
+		s.reportVerdict(fp, e, false)
+	}
 	return []Suspect{e.suspect(fp)}
 }
 
 // refuteAll refutes all crashes of e. The caller holds the lock of its shard.
-func (s *Suspects) refuteAll(fp Fingerprint, e *entry, now time.Time) {
-	poisoned := e.poisoned()
+func (s *Suspects) refuteAll(e *entry, now time.Time) {
 	e.answered = true
 	e.refute(e.crashes, now)
 	s.d.Stats.Inc("Poison.Cleared")
-	if poisoned {
-		s.d.Log.Emit(event.RequestCleared, "Fingerprint", fp.String())
-	}
 }
 
 // Merge adds the suspects that another daemon sent, and returns those of which more is known here than the other daemon
@@ -220,7 +220,7 @@
 		last := t.lastAnswer(x.Fingerprint)
 		e.answered = e.answered || !last.IsZero()
 		if !last.IsZero() && now.Sub(last) < noticeDelay {
-			s.refuteAll(x.Fingerprint, e, now)
+			s.refuteAll(e, now)
 		}
 	}
 	if poisoned := e.poisoned(); poisoned != before {
