--- a/mesh/suspects.go
+++ b/mesh/suspects.go
@@ -61,8 +61,8 @@
 	return n.suspects.Check(f())
 }
 
-// admitSuspect is checkSuspect for a request that is about to be sent to the backend server. The other daemons learn of
-// a trial before it begins.
+// admitSuspect is checkSuspect for a request that is about to be sent to the backend server. The other daemons are
+// told of a trial at once.
 func (n *Node) admitSuspect(r *request) (time.Duration, error) {
 	if n.suspects.Empty() {
 		return 0, nil
--- a/poison/suspects.go
+++ b/poison/suspects.go
@@ -86,7 +86,7 @@
 }
 
 // Admit is Check for a request that is about to be sent to a backend server. If the request is poisoned and admitted,
-// it is a trial, and the returned list is to be sent to the other daemons first.
+// it is a trial, and the returned list is to be sent to the other daemons at once.
 func (s *Suspects) Admit(fp Fingerprint) (trial []Suspect, wait time.Duration, err error) {
 	if s.Empty() {
 		return nil, 0, nil
@@ -120,8 +120,8 @@
 	return wait, r
 }
 
-// Crashed records that backend servers crashed with these requests in flight, and returns the suspects to send to the
-// other daemons.
+// Crashed records that a backend server crashed with these requests in flight, and returns the suspects to send to the
+// other daemons. A request that was answered before is not suspect if another one explains the crash.
 func (s *Suspects) Crashed(c Crash, list []Fingerprint) []Suspect {
 	now := time.Now()
 	explained := slices.ContainsFunc(list, func(fp Fingerprint) bool { return s.explains(fp, c, now) })
