--- a/poison/shard.go
+++ b/poison/shard.go
@@ -52,16 +52,17 @@
 func (t *shard) evict(now time.Time) {
 	var victim Fingerprint
 	var found *entry
+	var foundUntil time.Time
 	expired := false
 	for fp, e := range t.entries {
-		if !now.Before(e.until()) {
+		until := e.until()
+		if !now.Before(until) {
 			delete(t.entries, fp)
 			expired = true
 			continue
 		}
-		if found == nil || len(e.crashes) < len(found.crashes) ||
-			len(e.crashes) == len(found.crashes) && e.until().Before(found.until()) {
-			victim, found = fp, e
+		if found == nil || len(e.crashes) < len(found.crashes) || len(e.crashes) == len(found.crashes) && until.Before(foundUntil) {
+			victim, found, foundUntil = fp, e, until
 		}
 	}
 	if !expired {
