--- a/poison/suspects.go
+++ b/poison/suspects.go
@@ -241,11 +241,6 @@
 	s.d.Stats.Inc("Poison.Poisoned")
 }
 
-// List returns at most maxListed suspects: those with most crashes first.
-func (s *Suspects) List() []Suspect {
-	return s.list(maxListed, func(*entry) bool { return true })
-}
-
 // Verdicts returns requests that are or were poisoned, for a daemon that may know none of them.
 func (s *Suspects) Verdicts() []Suspect {
 	if !s.judged.Load() {
@@ -263,7 +258,7 @@
 	return s.list(maxOwn, func(e *entry) bool { return e.judged && e.own })
 }
 
-// list returns at most n of the suspects of which include holds.
+// list returns at most n of the suspects of which include holds: those with most crashes first.
 func (s *Suspects) list(n int, include func(*entry) bool) []Suspect {
 	now := time.Now()
 	var out []Suspect
--- a/poison/suspects_test.go
+++ b/poison/suspects_test.go
@@ -22,6 +22,9 @@
 
 func newSuspects() *Suspects { return New(Deps{Log: event.Discard(), Stats: stats.New()}) }
 
+// all returns the suspects as a list to exchange.
+func (s *Suspects) all() []Suspect { return s.list(maxListed, func(*entry) bool { return true }) }
+
 // crash records that process of server crashed with these requests in flight, and returns what is sent.
 func crash(s *Suspects, server ident.Addr, process int, requests ...int) []Suspect {
 	list := make([]Fingerprint, len(requests))
@@ -145,9 +148,9 @@
 			crash(s, "a", 1, 1)
 			crash(s, "b", 1, 1)
 			for range int(VerdictExpiry/time.Hour) + 1 {
-				o.Merge(s.List())
+				o.Merge(s.all())
 				time.Sleep(30 * time.Minute)
-				s.Merge(o.List())
+				s.Merge(o.all())
 				time.Sleep(30 * time.Minute)
 			}
 		}, false},
@@ -327,7 +330,7 @@
 			for range 2 {
 				for _, a := range daemons {
 					for _, b := range daemons {
-						b.Merge(a.List())
+						b.Merge(a.all())
 					}
 				}
 			}
@@ -361,7 +364,7 @@
 	}
 	is.True(n <= maxSuspects)
 	is.True(answers <= 2*answersKept*shardCount)
-	list := s.List()
+	list := s.all()
 	is.Equal(len(list), maxListed)
 	is.Equal(list[0].Fingerprint, fingerprint(1)) // poisoned ones come first
 	is.True(len(list[0].Crashes) <= maxCrashes)
