--- a/review/standin2/client.go
+++ b/review/standin2/client.go
@@ -27,6 +27,11 @@
 
 // send sends one client attempt to the outbound address of m, on a new connection.
 func send(rec *record, m *machine, method, host, path string, deadline time.Duration) answer {
+	return sendWithKey(rec, m, method, host, path, "", deadline)
+}
+
+// sendWithKey is send with the key of a tenant; empty: none.
+func sendWithKey(rec *record, m *machine, method, host, path, key string, deadline time.Duration) answer {
 	a := answer{id: newID(), sent: time.Now(), machine: m}
 	var body io.Reader
 	if method == http.MethodPost {
@@ -40,8 +45,11 @@
 	req.Host = host
 	req.Header.Set(hdrID, a.id)
 	req.Header.Set(hdrDeadline, fmt.Sprint(deadline.Milliseconds()))
+	if key != "" {
+		req.Header.Set("Authorization", "Token "+key)
+	}
 	c := http.Client{Timeout: deadline + 500*time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
-	rec.log("sent      id=%s %s %s%s to %s", a.id, method, host, path, m.name)
+	rec.log("sent      id=%s %s %s%s to %s key=%q", a.id, method, host, path, m.name, key)
 	res, err := c.Do(req)
 	if err == nil {
 		var b []byte
--- a/review/standin2/departure.go
+++ b/review/standin2/departure.go
@@ -5,6 +5,8 @@
 	"time"
 )
 
+func init() { cases["departure"] = caseDeparture }
+
 // caseDeparture checks DRAIN: the acknowledgement of a target's leaving binds the machine that gave it. With trouble, the store is
 // down when the target leaves, and all daemons are killed before it is back; one heartbeat of the target arrives seconds late.
 func caseDeparture(rec *record, dir string, trouble bool) error {
--- a/review/standin2/machine.go
+++ b/review/standin2/machine.go
@@ -153,3 +153,17 @@
 	}
 	return "target/marjoramcroftd"
 }
+
+// addSettings appends lines to the last table of the settings.
+func (m *machine) addSettings(lines string) error {
+	f, err := os.OpenFile(m.settings, os.O_APPEND|os.O_WRONLY, 0)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	_, err = f.WriteString(lines)
+	return err
+}
+
+// exit returns how the daemon has ended.
+func (m *machine) exit() string { return m.cmd.ProcessState.String() }
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -39,6 +39,10 @@
 
 var errBroken = errors.New("rule broken")
 
+// cases holds the cases by name. A case writes its files into dir and returns nil if the rule held, errBroken if it was broken, or
+// another error if it could not run.
+var cases = map[string]func(rec *record, dir string, trouble bool) error{}
+
 // config returns the operator's configuration. Each route is NAME, host, prefix, kind, service.
 func config(version int, services []string, routes [][5]string) []byte {
 	var rs, ss []map[string]any
@@ -58,7 +62,6 @@
 }
 
 func main() {
-	cases := map[string]func(*record, string, bool) error{"departure": caseDeparture}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: review-standin-2 CASE RECORD")
 		os.Exit(exitFailed)
--- a/review/standin2/store.go
+++ b/review/standin2/store.go
@@ -310,3 +310,19 @@
 	}
 	reply(w, http.StatusOK, map[string]any{"rev": s.rev})
 }
+
+// value returns the value of the first key with prefix that has one.
+func (s *store) value(prefix string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	first := ""
+	for k := range s.items {
+		if strings.HasPrefix(k, prefix) && (first == "" || k < first) {
+			first = k
+		}
+	}
+	if first == "" {
+		return nil
+	}
+	return s.items[first].Value
+}
--- a/review/standin2/target.go
+++ b/review/standin2/target.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -20,6 +22,7 @@
 	hdrStamp    = "X-Marjoramcroft-Server-Stamp"
 	hdrNotRun   = "X-Marjoramcroft-Not-Executed"
 	hdrInstance = "X-Marjoramcroft-Instance-Id"
+	hdrTenant   = "X-Marjoramcroft-Tenant"
 	hdrLoad     = "X-Marjoramcroft-Server-Load"
 )
 
@@ -31,6 +34,8 @@
 	service  string
 	path     string
 	caller   string
+	tenant   string
+	key      string // as the target was shown it
 }
 
 // target is a stand-in of the application target beside a daemon.
@@ -45,6 +50,7 @@
 	mu      sync.Mutex
 	running int
 	runs    []run
+	size    int
 	seq     int64
 	stop    chan struct{} // ends the heartbeats
 	beating bool
@@ -73,7 +79,7 @@
 	full := t.running >= t.slots
 	if !full {
 		t.running++
-		t.runs = append(t.runs, run{time.Now(), id, t.id, t.service, r.URL.Path, r.Header.Get(hdrCaller)})
+		t.runs = append(t.runs, run{time.Now(), id, t.id, t.service, r.URL.Path, r.Header.Get(hdrCaller), r.Header.Get(hdrTenant), r.Header.Get("Authorization")})
 	}
 	load := fmt.Sprintf("%d,0,%d,100", t.running, t.slots)
 	t.mu.Unlock()
@@ -83,14 +89,14 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	t.rec.log("run       id=%s at target %s of %s path=%s", id, t.id, t.service, r.URL.Path)
+	t.rec.log("run       id=%s at target %s of %s path=%s tenant=%q authorization=%q", id, t.id, t.service, r.URL.Path, r.Header.Get(hdrTenant), r.Header.Get("Authorization"))
 	_, _ = io.Copy(io.Discard, r.Body)
 	time.Sleep(t.work)
 	t.mu.Lock()
 	t.running--
 	t.mu.Unlock()
 	w.Header().Set(hdrStamp, "stamp."+t.id+"."+id)
-	_, _ = io.WriteString(w, "answer of "+t.id+" to "+id)
+	_, _ = io.WriteString(w, "answer of "+t.id+" to "+id+strings.Repeat("x", t.size))
 }
 
 // beat is the body of a heartbeat with the next sequence number.
@@ -155,3 +161,7 @@
 	}
 	return out
 }
+
+func sortRuns(list []run) {
+	slices.SortFunc(list, func(a, b run) int { return a.at.Compare(b.at) })
+}
