--- a/review/second/platform/departure.go
+++ b/review/second/platform/departure.go
@@ -85,8 +85,10 @@
 			}
 		}
 		rec.log("started   all daemons")
-		time.Sleep(1200 * time.Millisecond)
+	} else {
+		time.Sleep(300 * time.Millisecond)
 	}
+	time.Sleep(1200 * time.Millisecond)
 	rec.log("heartbeat seq=%v of %s arrives, answered %d", late["seq"], leaver.id, leaver.post("heartbeat", late))
 	if trouble {
 		time.Sleep(time.Until(down.Add(3 * time.Second)))
