--- a/mesh/account.go
+++ b/mesh/account.go
@@ -13,7 +13,7 @@
 // identify sets the account of a call by its key. The answer is non-nil if the call is refused. A call on a public route
 // needs no key.
 func (n *Node) identify(t *table.Table, p *pendingCall) *Answer {
-	if !t.HasAccounts() {
+	if !t.RequiresKey() {
 		p.c.Header = withoutFields(p.c.Header, n.d.Names.Account)
 		return nil
 	}
@@ -45,9 +45,9 @@
 }
 
 // withoutKey returns the header of a request that is about to be sent to the backend server. The entry may have an
-// earlier configuration, without accounts, and so may not have removed the key.
+// earlier configuration that requires no keys, and so may not have removed the key.
 func (n *Node) withoutKey(h http.Header) http.Header {
-	if !n.table.Load().HasAccounts() {
+	if !n.table.Load().RequiresKey() {
 		return h
 	}
 	return withoutFields(h, n.d.Names.Key)
--- a/mesh/call.go
+++ b/mesh/call.go
@@ -15,7 +15,7 @@
 	Path   string // path of URI, matched against the routes
 	Host   string
 	// Header has the end-to-end header fields. Serve replaces it by one without what the caller must not state, the name of
-	// its account, and without its key if the configuration has accounts.
+	// its account, and without its key if the configuration requires keys.
 	Header   http.Header
 	Body     []byte
 	Arrived  time.Time
--- a/mesh/document.go
+++ b/mesh/document.go
@@ -90,7 +90,7 @@
 	n.recordSpillMode(t)
 	n.rates.configure(t)
 	n.d.Stats.Gauge("Config.Version", int64(spec.Version))
-	n.d.Log.Emit(event.ConfigInForce, "Version", spec.Version, "Before", old, "Routes", len(spec.Routes), "Accounts", len(spec.Accounts), "From", from, "Source", source)
+	n.d.Log.Emit(event.ConfigInForce, "Version", spec.Version, "Before", old, "Routes", len(spec.Routes), "Accounts", len(spec.Accounts), "KeyRequired", t.RequiresKey(), "From", from, "Source", source)
 	if n.hasFollowers() {
 		n.notifyFollowers(n.configNotice(before, doc, d))
 	}
--- a/mesh/visit.go
+++ b/mesh/visit.go
@@ -129,7 +129,7 @@
 func (p *pendingCall) strict() bool { return strictQueues(p.table) }
 
 // strictQueues reports whether the configuration has requests that compete for capacity by rank: those of accounts, or
-// large answers beside small ones.
+// large answers beside small ones. An empty list of accounts has none, also if keys are required.
 func strictQueues(t *table.Table) bool { return t.HasAccounts() || t.HasLargeAnswers() }
 
 // shouldQueueLate reports whether the call, after trying all servers, is queued at the least busy one. This
--- a/table/account.go
+++ b/table/account.go
@@ -75,9 +75,14 @@
 	return x, errs
 }
 
-// HasAccounts reports whether calls need the key of an account; false for a nil Table.
+// HasAccounts reports whether the configuration lists an account; false for a nil Table. Whether calls need a key is
+// RequiresKey.
 func (t *Table) HasAccounts() bool { return t != nil && len(t.spec.Accounts) > 0 }
 
+// RequiresKey reports whether calls need the key of an account, except on public routes; false for a nil Table. A
+// configuration that requires keys and lists no account admits no other calls.
+func (t *Table) RequiresKey() bool { return t.HasAccounts() || (t != nil && t.spec.KeyRequired) }
+
 // Account returns the account that has key.
 func (t *Table) Account(key string) (*Account, bool) {
 	a, ok := t.accounts.byKey[key]
@@ -105,9 +110,10 @@
 const maxPriority = 999
 
 // Rank combines the priorities of an account and a route into one, zero being the highest. That of the account goes
-// first; without an account (nil) it is zero. In a configuration without accounts the rank is the priority of the route.
+// first; without an account (nil) it is zero. In a configuration that requires no keys the rank is the priority of the
+// route. One whose list of accounts is empty ranks as with accounts, as queues may still hold calls of accounts.
 func (t *Table) Rank(a *Account, r *Route) int {
-	if !t.HasAccounts() {
+	if !t.RequiresKey() {
 		return r.Priority
 	}
 	rank := clipPriority(r.Priority)
--- a/table/account_test.go
+++ b/table/account_test.go
@@ -56,6 +56,33 @@
 	}
 }
 
+// TestRequiresKey guards against a configuration that is open to everybody since its list of accounts is empty.
+func TestRequiresKey(t *testing.T) {
+	for name, tt := range map[string]struct {
+		spec                  Spec
+		requires, hasAccounts bool
+	}{
+		"no list":                 {testSpec(testRoute("r", "h", "/")), false, false},
+		"empty list":              {Spec{Version: 1, KeyRequired: true}, true, false},
+		"account without keys":    {Spec{Version: 1, KeyRequired: true, Accounts: []Account{{ID: "a"}}}, true, true},
+		"accounts, not stated so": {accountsSpec(Account{ID: "a", Keys: []string{"k"}}), true, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			tb, err := New(tt.spec)
+			is.NoErr(err)
+			is.Equal(tb.RequiresKey(), tt.requires)
+			is.Equal(tb.HasAccounts(), tt.hasAccounts)
+			want := 5000 // the priority of the route alone
+			if tt.requires {
+				want = maxPriority
+			}
+			is.Equal(tb.Rank(nil, &Route{Priority: 5000}), want)
+		})
+	}
+	is.New(t).True(!(*Table)(nil).RequiresKey())
+}
+
 // TestInvalidAccounts guards against configurations in which a key or a name does not tell whose call it is, or a rate
 // does not limit, and against errors that contain a key: they are logged.
 func TestInvalidAccounts(t *testing.T) {
--- a/table/table.go
+++ b/table/table.go
@@ -16,8 +16,11 @@
 	Version  ident.Version
 	Routes   []Route
 	Services []Service
-	Accounts []Account // none: calls need no key
-	Limits   Limits
+	Accounts []Account
+	// KeyRequired means that calls need the key of an account even if Accounts is empty, as it is once the last account was
+	// removed. With accounts they need one in any case.
+	KeyRequired bool
+	Limits      Limits
 }
 
 // Limits limits the size of a caller's requests and how long a connection may take to send a header or stay
