mesh: Doubt a backend server whose departure may have been forgotten

Callers saw: a backend server left while the store was down, its departure was acknowledged, all daemons were killed, and a heartbeat of before arrived late.

Cause: a daemon that starts believed the first heartbeat that it heard. The departure is acknowledged after 0.5 s also without the store, as the server takes only an answer within a second; when all daemons end nobody has it.

Evidence: of the 16 cases of TestForgottenDeparture 12 fail if every heartbeat is believed, as does TestClockSetBackInDoubt: leave and draining, one and two late heartbeats, a silent store, heartbeats after the store is back, daemons killed twice and five times, a daemon cut off, a store that comes back from a copy.

Change: a daemon reads its own entry at its start. It is in doubt if the store does not give it within 0.7 s, has it from a copy, or it says that the process before was in doubt. In doubt, a server that is older than the daemon is in use after three heartbeats in order, the last one 3 s or more after the start. A late heartbeat was sent before the server left, and a server that runs on goes on; three in order that late do not come from one that left. The doubt ends at once by a witness: a daemon whose link to the earlier process carried all until that ended has the notice of each departure, sent 0.5 s before the acknowledgement (TestWitness, 3 of 9 cases fail without). While a departure is not stored, the entry is tried every 0.2 s. Events 818 and 819 and two counters show it.

In TestVerdictsOutliveDaemons the server of a daemon that restarts without the store goes on reporting, as servers do.

--- a/event/mesh.go
+++ b/event/mesh.go
@@ -20,6 +20,8 @@
 	NoticeUnreadable     ID = 815
 	LinkNotAccepted      ID = 816
 	BackendRestored      ID = 817
+	BackendUnconfirmed   ID = 818
+	BackendConfirmed     ID = 819
 	ConfigInForce        ID = 820
 	ConfigInvalid        ID = 821
 	StoreLost            ID = 822
@@ -66,6 +68,8 @@
 	NoticeUnreadable:     {log.WarnLevel, "notice of another daemon cannot be read"},
 	LinkNotAccepted:      {log.WarnLevel, "link cannot be accepted"},
 	BackendRestored:      {log.WarnLevel, "backend server goes on reporting, the later one is dropped"},
+	BackendUnconfirmed:   {log.WarnLevel, "backend server may have left, not in use until it goes on reporting"},
+	BackendConfirmed:     {log.InfoLevel, "backend server goes on reporting, in use"},
 	ConfigInForce:        {log.InfoLevel, "configuration in force"},
 	ConfigInvalid:        {log.ErrorLevel, "configuration refused, the present one stays in force"},
 	StoreLost:            {log.WarnLevel, "store lost, the present state stays in use"},
--- a/link/conn.go
+++ b/link/conn.go
@@ -130,6 +130,9 @@
 	c.mu.Unlock()
 }
 
+// LastReceived returns when the last bytes arrived from the other daemon, on the steady clock.
+func (c *Conn) LastReceived() time.Time { return c.start.Add(time.Duration(c.lastReceived.Load())) }
+
 // Close closes the connection. Waiting calls return ErrLost or ErrNotSent.
 func (c *Conn) Close() {
 	c.mu.Lock()
--- a/mesh/gossip.go
+++ b/mesh/gossip.go
@@ -64,15 +64,19 @@
 	}
 }
 
-// returnDepartures tells a daemon that was restarted which backend servers beside it had left before. The daemon has
-// lost that, and the store may be unavailable or not hold it.
+// returnDepartures tells a daemon that was restarted which backend servers beside it had left before, and whether this
+// daemon is a witness that there were no others. The daemon has lost that, and the store may be unavailable or not hold it.
 func (n *Node) returnDepartures(c *link.Conn, self *Peer) {
 	known, ok := n.peers.get(self.Addr)
 	if !ok {
 		return
 	}
-	if left := self.lacking(&known); len(left) > 0 {
-		n.notify(c, &notice{Peers: []storedPeer{{Peer: Peer{Addr: self.Addr, Departed: left}}}, Version: n.Version()})
+	var ended time.Duration
+	if known.Life != self.Life {
+		ended = n.peers.sinceEnd(self.Addr)
+	}
+	if left := self.lacking(&known); len(left) > 0 || ended > 0 {
+		n.notify(c, &notice{Peers: []storedPeer{{Peer: Peer{Addr: self.Addr, Departed: left, SinceEnd: ended}}}, Version: n.Version()})
 	}
 }
 
@@ -251,7 +255,7 @@
 func (n *Node) self() Peer {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	p := Peer{Addr: n.d.Self, Place: n.d.Place, Life: n.incarnation, Seq: n.seq, Stopping: n.stopping.Load(), StoreLatency: n.storeLatency, Era: n.era}
+	p := Peer{Addr: n.d.Self, Place: n.d.Place, Life: n.incarnation, Seq: n.seq, Stopping: n.stopping.Load(), StoreLatency: n.storeLatency, Era: n.era, InDoubt: n.doubt != noDoubt}
 	if n.server != nil {
 		s := n.server.Server
 		p.Server = &s
--- a/mesh/links.go
+++ b/mesh/links.go
@@ -226,8 +226,9 @@
 
 // serveOpened serves an open link until it is closed.
 func (n *Node) serveOpened(c *link.Conn) {
-	_ = c.Serve() // the error is ignored: the other daemon may have stopped
+	err := c.Serve() // the other daemon may have stopped
 	n.unidentified.Remove(c)
+	n.recordEnd(c, err)
 	n.removeConn(c)
 	n.subs.removeLink(c)
 }
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -101,8 +101,11 @@
 	accounts             *accountNames    // of the counters for each account
 	spillAdaptive        atomic.Bool      // the costs of distances are adaptive with the configuration in force
 	probing              atomic.Bool      // the backend server is unreachable and being probed
-	entryOutdated        chan struct{}    // the daemon's own store entry is outdated
-	newerVersion         chan struct{}    // another daemon has a newer configuration
+	ownEntryReading      atomic.Bool      // readOwnEntry was started
+	ownEntryRead         context.Context  // done when readOwnEntry has ended, or need not be waited for
+	ownEntryReadDone     context.CancelFunc
+	entryOutdated        chan struct{} // the daemon's own store entry is outdated
+	newerVersion         chan struct{} // another daemon has a newer configuration
 	ctx                  context.Context
 	stop                 context.CancelFunc
 	wg                   sync.WaitGroup
@@ -113,6 +116,9 @@
 	mu           sync.Mutex
 	server       *localServer // beside the daemon; nil: none is known. Replaced, never modified.
 	displaced    displacedServer
+	doubt        doubt // about departures before the daemon's start
+	unconfirmed  unconfirmedServer
+	witnessed    bool       // acceptWitness has found one
 	departures   departures // of processes other than that of server
 	seq          int64
 	doc          *document                 // the configuration in force; nil: none
@@ -151,6 +157,7 @@
 	n.retries = retry.NewSharedBudget(d.Config.Retries, n.peers.daemons, d.Now)
 	n.rates = newRates(n)
 	n.ctx, n.stop = context.WithCancel(context.Background())
+	n.ownEntryRead, n.ownEntryReadDone = context.WithCancel(n.ctx)
 	n.calls, n.endCalls = context.WithCancel(context.Background())
 	return n
 }
@@ -158,6 +165,8 @@
 // Start begins synchronising with the store and the other daemons.
 func (n *Node) Start() {
 	n.updateSelf(n.self())
+	n.ownEntryReading.Store(true)
+	n.wg.Go(n.readOwnEntry)
 	n.wg.Go(n.followStore)
 	n.wg.Go(n.maintainEntry)
 	n.wg.Go(n.maintainSubscriptions)
@@ -214,7 +223,7 @@
 
 // Close refuses the requests that wait for a slot as not run, removes the daemon's entry from the store, ends all links as
 // link.Conn.Shutdown does and waits for the daemon's goroutines. Links that have not ended when ctx is done are closed. An
-// entry with departures or verdicts stays until its lease ends, for the daemon's next process: other daemons forget it after
+// entry with departures or verdicts, or in doubt about departures, stays until its lease ends, for the daemon's next process: other daemons forget it after
 // missingTime.
 func (n *Node) Close(ctx context.Context) {
 	n.stopping.Store(true)
@@ -222,7 +231,7 @@
 	n.endRates()
 	var links sync.WaitGroup
 	links.Go(func() { n.shutdownLinks(ctx) })
-	if !n.hasDepartures() && !n.hasVerdicts() {
+	if !n.hasDepartures() && !n.hasVerdicts() && !n.inDoubt() {
 		n.removeEntry()
 	}
 	n.stop()
--- a/mesh/peer.go
+++ b/mesh/peer.go
@@ -49,6 +49,11 @@
 	// Era is the highest era of the store that the daemon knew. An entry that the store has in a later era is from the
 	// copy from which the store was restored, until the daemon writes it again.
 	Era store.Era
+	// InDoubt means that the daemon, and so its next process, cannot rule out that backend servers left before it started
+	// of which nobody knows.
+	InDoubt bool `msgpack:",omitempty"`
+	// SinceEnd is stated of a daemon's earlier process by a witness: how long ago their link ended; zero: it is no witness.
+	SinceEnd time.Duration `msgpack:",omitempty"`
 }
 
 // maxPeerSeq bounds Seq, which grows by one with each change of state.
--- a/mesh/peerlist.go
+++ b/mesh/peerlist.go
@@ -28,6 +28,7 @@
 	linked bool           // a link to it is open
 	// missingSince is when it was last known to the store or a link; zero: it is.
 	missingSince time.Time
+	ended        linkEnd
 }
 
 func newPeerList() *peerList {
--- a/mesh/register.go
+++ b/mesh/register.go
@@ -21,6 +21,7 @@
 // holds at a position.
 func (n *Node) applyOwnEntry(p Peer, at store.Position) {
 	n.rememberDeparture(p)
+	n.acceptWitness(p.SinceEnd)
 	n.mu.Lock()
 	ahead := p.Life > n.incarnation || (p.Life == n.incarnation && p.Seq > n.seq)
 	superseded := ahead && !n.stopping.Load() && at.After(n.entry.stored) && n.supersede(p)
@@ -120,6 +121,9 @@
 	for n.ctx.Err() == nil {
 		if err := n.write(n.ctx); err != nil {
 			failures++
+			if n.departureUnstored() {
+				failures = min(failures, 1) // it is known to the store soon after that is back
+			}
 			if !n.backOff(failures) {
 				return
 			}
--- a/mesh/server.go
+++ b/mesh/server.go
@@ -20,11 +20,13 @@
 }
 
 // HandleHeartbeat applies a heartbeat of the backend server beside the daemon. The reported state is in force when
-// HandleHeartbeat returns. An invalid heartbeat returns an error.
+// HandleHeartbeat returns, unless the server may have left before the daemon started (see believes). An invalid heartbeat
+// returns an error.
 func (n *Node) HandleHeartbeat(h Heartbeat) error {
 	if err := n.checkHeartbeat(&h); err != nil {
 		return err
 	}
+	n.awaitOwnEntry()
 	now := time.Now()
 	n.mu.Lock()
 	cur := n.server
@@ -34,12 +36,17 @@
 		n.d.Stats.Inc("Server.HeartbeatLate")
 		return nil // from an earlier process, or out of order
 	}
+	fresh := cur == nil || cur.ID != h.ID || cur.Born != h.Started
+	if fresh && !n.believes(&h, now) {
+		n.mu.Unlock()
+		n.d.Stats.Inc("Server.Unconfirmed")
+		return nil
+	}
 	if late {
 		n.d.Stats.Inc("Server.Restored")
 		n.d.Log.Emit(event.BackendRestored, "Server", h.ID, "Born", h.Started, "Displaced", cur.ID, "DisplacedBorn", cur.Born)
 	}
 	n.displaced = displacedServer{}
-	fresh := cur == nil || cur.ID != h.ID || cur.Born != h.Started
 	next := &localServer{
 		Server: Server{ID: h.ID, Service: h.Service, Slots: h.Slots, State: h.State, Born: h.Started, WarmAt: n.d.Now().Add(h.WarmUp)},
 		addr:   h.Addr, seq: h.Seq, heard: now,
@@ -59,6 +66,8 @@
 	next.leaving = next.leaving || h.State == Draining || n.departures.has(next.process())
 	if next.leaving {
 		next.State = Draining
+	} else {
+		n.doubt = noDoubt
 	}
 	changed := fresh || cur.State != next.State || cur.Slots != next.Slots
 	n.server = next
@@ -182,6 +191,14 @@
 	n.stored.wait(ctx, seq)
 }
 
+// departureUnstored reports whether a departure has been reported that the store does not hold.
+func (n *Node) departureUnstored() bool {
+	n.mu.Lock()
+	seq := n.departureSeq
+	n.mu.Unlock()
+	return seq > 0 && !n.stored.reached(seq)
+}
+
 // publishDeparture is publish for a change that AwaitDeparture waits for.
 func (n *Node) publishDeparture() {
 	n.publish()
--- a/mesh/storedseq.go
+++ b/mesh/storedseq.go
@@ -26,6 +26,13 @@
 	s.changed = make(chan struct{})
 }
 
+// reached reports whether the entry has held the state of seq or a later one.
+func (s *storedSeq) reached(seq int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.seq >= seq
+}
+
 // wait waits until the entry has held the state of seq or a later one, and reports false if ctx is done before.
 func (s *storedSeq) wait(ctx context.Context, seq int64) bool {
 	for {
--- a/mesh/suspects_test.go
+++ b/mesh/suspects_test.go
@@ -259,6 +259,10 @@
 			r.store.SetOutage(emul.Rejecting)
 			stop(n)
 			r.restart(t, n)
+			for range 3 { // without the store, the server is in use only when it goes on reporting
+				time.Sleep(beatInterval)
+				n.heartbeat(Ready)
+			}
 		}},
 		"another daemon joins": {after: func(t *testing.T, r *crashCluster) {
 			n := r.add(here, "s")
--- a/mesh/syncfleet_test.go
+++ b/mesh/syncfleet_test.go
@@ -195,6 +195,14 @@
 		}
 		return c, rev, err
 	}
+	out.Get = func(ctx context.Context, key string) (store.Value, error) {
+		f.calls.Add(10)
+		v, err := d.Get(ctx, key)
+		if err == nil {
+			err = f.transfer(ctx, n, encodedSize([]store.Value{v}))
+		}
+		return v, err
+	}
 	out.Swap = func(ctx context.Context, key string, revision int64, data []byte, lease store.LeaseID) (store.Value, error) {
 		f.calls.Add(10)
 		if err := f.transfer(ctx, n, 100); err != nil {
