review: Move the stand-ins of the third review into a module of their own

TestNamesStayInThisFolder passes over folders named platform only, and stand-ins speak the platform's words. Beside that, late heartbeats come with and without the disruption, and the check counts requests only from touch_s after the last disruption.

--- a/review/third/fleet.go
+++ b/review/third/platform/fleet.go
@@ -31,8 +31,9 @@
 	store    *storeServer
 	machines []*machine
 
-	mu   sync.Mutex
-	logs []*os.File
+	mu        sync.Mutex
+	logs      []*os.File
+	disturbed time.Time // last change of the store or of a process
 }
 
 // machine is one machine with its daemon and its target.
@@ -49,7 +50,7 @@
 	starts                 int
 }
 
-// deployment says what newDeployment sets up.
+// deployment says what deploy sets up.
 type deployment struct {
 	services []string
 	zones    [][2]string // with regions
@@ -82,6 +83,9 @@
 		return ln.Addr().(*net.TCPAddr).Port
 	}
 	f.ports = ports{free(), free(), free(), free(), free()}
+	if p := f.ports; len(map[int]bool{0: true, p.app: true, p.callers: true, p.ready: true, p.control: true, p.link: true}) < 6 {
+		return nil, errors.New("no free ports")
+	}
 	return f, nil
 }
 
--- a/review/third/memory.go
+++ b/review/third/platform/memory.go
@@ -24,7 +24,8 @@
 	faultEnds     = 3
 )
 
-// playBodies checks Fault. Clients of three data centres upload long bodies that are within the limits. The platform kills a process whose memory exceeds that of its machine, and starts it again.
+// playBodies checks Fault. Clients in three zones upload long bodies that are within the limits. The platform kills a process
+// whose memory exceeds that of its machine, and starts it again.
 func playBodies(f *fleet, trouble bool) error {
 	routes := []route{
 		{"status", "safe", "counter", 2.5, 0.6}, {"pickup", "unsafe", "dispatch", 2.5, 0.6}, {"history", "safe", "ledger", 5, 1.2},
--- a/review/third/target.go
+++ b/review/third/platform/target.go
@@ -47,10 +47,10 @@
 	stopBeats                        context.CancelFunc
 	mu                               sync.Mutex
 	seq                              int
+	left                             time.Time // when the leave was acknowledged
 	arrivals                         []arrival
 	run                              map[string]int // by id of the request
 	answer                           func(w http.ResponseWriter, r *http.Request)
-	beatLate                         func(seq int) time.Duration // how late a heartbeat arrives; nil: none does
 }
 
 func (t *target) start(ln net.Listener) {
@@ -72,7 +72,7 @@
 
 func (t *target) beat(ctx context.Context) {
 	for ctx.Err() == nil {
-		t.report(ctx, "ready")
+		t.send(ctx, "heartbeat", t.doc(t.nextSeq()))
 		select {
 		case <-ctx.Done():
 		case <-time.After(beatEvery):
@@ -80,34 +80,44 @@
 	}
 }
 
-// report sends a heartbeat and reports whether it was acknowledged in time.
-func (t *target) report(ctx context.Context, state string) bool {
+// reportLate sends a heartbeat that is on its way for d.
+func (t *target) reportLate(d time.Duration) {
+	seq := t.nextSeq()
+	doc := t.doc(seq)
+	t.rec.logf("target %s: heartbeat with seq %d, on its way for %v", t.id, seq, d)
+	time.AfterFunc(d, func() {
+		t.rec.logf("target %s: the heartbeat with seq %d arrives, answered %d", t.id, seq, t.send(context.Background(), "heartbeat", doc))
+	})
+}
+
+func (t *target) nextSeq() int {
 	t.mu.Lock()
+	defer t.mu.Unlock()
 	t.seq++
-	seq := t.seq
-	t.mu.Unlock()
-	if t.beatLate != nil {
-		if d := t.beatLate(seq); d > 0 {
-			t.rec.logf("target %s: the heartbeat with seq %d is on its way for %v", t.id, seq, d)
-			time.AfterFunc(d, func() {
-				t.rec.logf("target %s: the heartbeat with seq %d arrives, answered %d", t.id, seq, t.send(context.Background(), "heartbeat", t.doc(state, seq)))
-			})
-			return false
-		}
-	}
-	return t.send(ctx, "heartbeat", t.doc(state, seq)) == http.StatusOK
+	return t.seq
 }
 
-func (t *target) doc(state string, seq int) map[string]any {
+func (t *target) doc(seq int) map[string]any {
 	return map[string]any{
-		"service": t.service, "addr": t.addr, "zone": t.zone, "version": "v1", "slots": t.slots, "state": state,
+		"service": t.service, "addr": t.addr, "zone": t.zone, "version": "v1", "slots": t.slots, "state": "ready",
 		"cold_left_s": 0, "seq": seq, "born": t.born,
 	}
 }
 
 // deregister tells the daemon that the target leaves, and reports whether that was acknowledged in time.
 func (t *target) deregister(ctx context.Context) bool {
-	return t.send(ctx, "leave", nil) == http.StatusOK
+	acked := t.send(ctx, "leave", nil) == http.StatusOK
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.left = time.Now()
+	return acked
+}
+
+// leftAt returns when the leave was acknowledged.
+func (t *target) leftAt() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.left
 }
 
 // send returns the status of the answer; 0: there was none in time.
