review: Case of a success that no target gave

"OPTIONS *" is answered with 200 by the daemon itself, with neither stamp nor id; no route matches it, so it has to get 404. Cause: net/http answers these requests before the handler unless DisableGeneralOptionsHandler is set. Trials: without a key where accounts are configured, and without a configuration, it is the same.

--- a/review/third/platform/main.go
+++ b/review/third/platform/main.go
@@ -30,6 +30,7 @@
 	"departed": playDeparted,
 	"doubted":  playDoubted,
 	"bodies":   playBodies,
+	"options":  playOptions,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
