--- a/review/third/platform/departed.go
+++ b/review/third/platform/departed.go
@@ -30,8 +30,8 @@
 func playDeparted(f *fleet, trouble bool) error {
 	ms := time.Millisecond
 	return f.playDeparture(&departure{
-		how: storeBusy, beats: []time.Duration{2400 * ms}, arrive: []time.Duration{5200 * ms},
-		leave: 2800 * ms, kill: 4000 * ms, storeUp: 4300 * ms, start: 4600 * ms, measured: 7900 * ms,
+		how: storeBusy, beats: []time.Duration{2400 * ms}, arrive: []time.Duration{5400 * ms},
+		leave: 2800 * ms, kill: 3500 * ms, storeUp: 4300 * ms, start: 5000 * ms, measured: 8300 * ms,
 	}, trouble)
 }
 
